--- /dev/null
+++ b/dockmux/accord/catalogue.py
@@ -0,0 +1,104 @@
+"""Every event that a daemon logs: number, level, text, and what an operator does about it."""
+
+from enum import Enum
+from typing import Any
+
+
+class Note(Enum):
+    """A numbered event. Invariant: a number, once released, keeps its meaning."""
+
+    STARTED = (1001, "info", "started {role} {name} at {address}", "Nothing.")
+    STOPPING = (1002, "info", "stopping, {open} requests open", "Nothing; it ends when they do.")
+    STOPPED = (1003, "info", "stopped", "Nothing.")
+    TASK_FAILED = (1004, "error", "task {task} failed: {error}", "Report it; the task was begun again.")
+    BAD_FRAME = (
+        1005,
+        "warning",
+        "a message could not be read: {error}",
+        "Look for another program that sends to this port, or for mixed releases.",
+    )
+    CANNOT_RUN = (1006, "error", "cannot run: {error}", "Free the address or the disk that is named.")
+    CLOCK_JOINED = (2001, "info", "clock synchronized from {peer}, bound {boundMs} ms", "Nothing.")
+    CLOCK_FROZE = (
+        2002,
+        "warning",
+        "this process stood still for {gapMs} ms; clock not trusted",
+        "Look at the machine: suspended, swapping or overloaded.",
+    )
+    SOURCE_TAKEN = (2003, "info", "now the source of time under view {mark}", "Nothing.")
+    SOURCE_LEFT = (2004, "info", "no longer the source of time", "Nothing.")
+    FOUNDED = (3001, "info", "control plane founded by {voters}", "Nothing.")
+    VIEW_ADOPTED = (3002, "info", "view {number}: chain {chain}, voters {voters}", "Nothing.")
+    VIEW_PROPOSED = (3003, "info", "proposing view {number}: chain {chain}, voters {voters}", "Nothing.")
+    DISK_FRESH = (
+        3004,
+        "warning",
+        "the data folder is empty: new disk identity {disk}",
+        "Expected on a new or replaced core machine only.",
+    )
+    DISK_FAILED = (3005, "error", "the disk failed: {error}", "Make room or replace the disk.")
+    DISK_CORRUPT = (
+        3006,
+        "error",
+        "{file} is damaged at byte {offset}; this disk is not used",
+        "Replace the disk: empty the data folder and start again.",
+    )
+    LEDGER_REWRITTEN = (3007, "info", "{file} rewritten: {beforeBytes} to {afterBytes} bytes", "Nothing.")
+    DISK_TORN = (
+        3008,
+        "info",
+        "{file} ended in {lostBytes} bytes of an unfinished record; cut off",
+        "Nothing; they had not been acknowledged.",
+    )
+    JOINED = (3009, "info", "caught up from the tail at mark {mark}", "Nothing.")
+    SUSPECTED = (
+        3010,
+        "warning",
+        "core {disk} has been silent for {silentMs} ms",
+        "Look at that machine; the chain goes on without it.",
+    )
+    MARK_LEARNED = (4001, "info", "configuration {mark} learned, in use at {activate}", "Nothing.")
+    PERMISSION_LOST = (
+        4002,
+        "warning",
+        "no fresh news from the control plane; no new work",
+        "See `edict status`: the core has no majority or cannot be reached.",
+    )
+    PERMISSION_BACK = (4003, "info", "fresh news again; taking new work", "Nothing.")
+    ENGINE_CHANGED = (4004, "info", "engine {engine}: {state}", "Nothing, unless it is not expected.")
+    IDENTITY_REFUSED = (
+        4005,
+        "warning",
+        "{address} is not engine {engine} of {service}: {found}",
+        "Correct the engine list: that address belongs to something else.",
+    )
+    ORDERED = (4006, "info", "engine {engine} ordered to {phase} under permit {mark}", "Nothing.")
+
+    @property
+    def number(self) -> int:
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        return self.value[1]
+
+    def text(self, **fields: Any) -> str:
+        return self.value[2].format(**fields)
+
+
+def page() -> str:
+    """docs/events.md, made from the list above."""
+    lines = [
+        "# Log events",
+        "",
+        "Made from `dockmux/accord/catalogue.py`; each logged line begins with its number.",
+        "",
+    ]
+    lines += ["| number | level | text | what to do |", "| --- | --- | --- | --- |"]
+    lines += [f"| {note.number} | {note.level} | {note.value[2]} | {note.value[3]} |" for note in Note]
+    return "\n".join(lines) + "\n"
+
+
+def test_numbers_are_unique():
+    numbers = [note.number for note in Note]
+    assert len(numbers) == len(set(numbers))
--- /dev/null
+++ b/dockmux/accord/crew.py
@@ -0,0 +1,65 @@
+"""The tasks of a daemon, as one resource."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from greenlet import GreenletExit
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Host
+
+AGAIN_WAIT = timedelta(milliseconds=200)
+
+
+class Crew:
+    """Invariant: every task in `tasks` was spawned here and is ended when the crew is left."""
+
+    def __init__(self, *, host: Host) -> None:
+        self.host = host
+        self.tasks: list[Any] = []
+        self.failed = 0
+
+    def __enter__(self) -> "Crew":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.kill()
+        self.tasks.clear()
+
+    def keep(self, *, task: Callable[..., Any], **keywords: Any) -> None:
+        """Runs a task that ought never to end; begins it again should it fail."""
+        self.tasks.append(self.host.spawn(task=self._keep, work=task, keywords=keywords))
+
+    def start(self, *, task: Callable[..., Any], **keywords: Any) -> Any:
+        """Runs a task to its end."""
+        self.tasks = [t for t in self.tasks if not t.dead]
+        spawned = self.host.spawn(task=self._once, work=task, keywords=keywords)
+        self.tasks.append(spawned)
+        return spawned
+
+    def _once(self, *, work: Callable[..., Any], keywords: dict[str, Any]) -> None:
+        try:
+            work(**keywords)
+        except GreenletExit:
+            raise
+        except Exception as error:
+            self.failed += 1
+            self.host.log(Note.TASK_FAILED, task=work.__qualname__, error=_where(error=error))
+
+    def _keep(self, *, work: Callable[..., Any], keywords: dict[str, Any]) -> None:
+        while True:
+            self._once(work=work, keywords=keywords)
+            self.host.sleep(wait=AGAIN_WAIT)
+
+
+def _where(*, error: BaseException) -> str:
+    """The error with the places it passed through, on one line."""
+    places = []
+    trace = error.__traceback__
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        places.append(f"{code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}")
+        trace = trace.tb_next
+    return f"{type(error).__name__}: {error} ({' < '.join(reversed(places[-6:]))})"
--- /dev/null
+++ b/dockmux/accord/host.py
@@ -0,0 +1,144 @@
+"""The seam between a daemon and its machine: time, net, disk, random, log. Here the real one."""
+
+import contextlib
+import os
+import random
+import select
+import time
+from collections.abc import Callable, Iterator
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import eventlet
+from absl import logging
+from eventlet import tpool
+from eventlet.green import socket
+
+from dockmux.accord.catalogue import Note
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+def split_address(*, address: str) -> tuple[str, int]:
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
+@contextlib.contextmanager
+def within(*, wait: timedelta) -> Iterator[None]:
+    """Bounds everything inside it; TimeoutError when the time is up."""
+    with eventlet.Timeout(max(wait.total_seconds(), 0), TimeoutError("time is up")):
+        yield
+
+
+class Folder:
+    """A daemon's data folder. What a call returned from is synced; a failure is an OSError."""
+
+    def __init__(self, *, path: str) -> None:
+        self.path = Path(path)
+
+    def read(self, *, name: str) -> bytes | None:
+        return tpool.execute(self._read, name)
+
+    def append(self, *, name: str, data: bytes, offset: int) -> None:
+        """Writes data at offset, which is the end of what counts, cutting off what lies beyond."""
+        tpool.execute(self._append, name, data, offset)
+
+    def replace(self, *, name: str, data: bytes) -> None:
+        tpool.execute(self._replace, name, data)
+
+    def _read(self, name: str) -> bytes | None:
+        try:
+            return (self.path / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def _append(self, name: str, data: bytes, offset: int) -> None:
+        with open(self.path / name, "r+b") as file:
+            file.truncate(offset)
+            file.seek(offset)
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+
+    def _replace(self, name: str, data: bytes) -> None:
+        self.path.mkdir(parents=True, exist_ok=True)
+        fresh = self.path / (name + ".new")
+        with open(fresh, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(fresh, self.path / name)
+        folder = os.open(self.path, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+class Host:
+    """The real machine under one daemon. Invariant: `elapsed` never runs backwards."""
+
+    def __init__(self, *, name: str, folder: str = "", seed: int | None = None) -> None:
+        self.name = name
+        self.random = random.Random(seed)
+        self.folder = Folder(path=folder) if folder else None
+
+    def elapsed(self) -> timedelta:
+        return timedelta(microseconds=time.monotonic_ns() // 1000)
+
+    def wall(self) -> datetime:
+        return datetime.now(UTC)
+
+    def sleep(self, *, wait: timedelta) -> None:
+        eventlet.sleep(max(wait.total_seconds(), 0))
+
+    def spawn(self, *, task: Callable[..., Any], **keywords: Any) -> Any:
+        return eventlet.spawn(task, **keywords)
+
+    def connect(self, *, address: str, wait: timedelta) -> Any:
+        sock = socket.create_connection(split_address(address=address), timeout=wait.total_seconds())
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    def readable(self, *, sock: Any) -> bool:
+        """Whether a read would return at once: data, or the end."""
+        return bool(select.select([sock.fileno()], [], [], 0)[0])
+
+    def listen(self, *, address: str) -> Any:
+        return eventlet.listen(split_address(address=address), backlog=512, reuse_port=False)
+
+    def datagrams(self, *, address: str) -> "Datagrams":
+        return Datagrams(address=address)
+
+    def log(self, note: Note, **fields: Any) -> None:
+        logging.log(LEVELS[note.level], "[%d] %s: %s", note.number, self.name, note.text(**fields))
+
+
+class Datagrams:
+    """A bound UDP socket."""
+
+    def __init__(self, *, address: str) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(split_address(address=address))
+
+    def __enter__(self) -> "Datagrams":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.sock.close()
+
+    def send(self, *, address: str, data: bytes) -> None:
+        try:
+            self.sock.sendto(data, split_address(address=address))
+        except OSError:
+            pass  # A datagram may be lost anyway; the peer's silence tells.
+
+    def receive(self) -> tuple[bytes, str]:
+        while True:
+            try:
+                data, (ip, port) = self.sock.recvfrom(65536)
+            except ConnectionRefusedError:
+                continue  # An earlier datagram met a closed port.
+            return data, f"{ip}:{port}"
--- /dev/null
+++ b/dockmux/accord/ledger.py
@@ -0,0 +1,118 @@
+"""The append-only file: one checksummed JSON record a line, rewritten when long."""
+
+import json
+import zlib
+from typing import Any
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Folder, Host
+
+HEAD_BYTES = 18
+
+
+class LedgerDamaged(Exception):
+    """A record that was once synced cannot be read."""
+
+
+def line(*, record: dict[str, Any]) -> bytes:
+    body = json.dumps(record, separators=(",", ":")).encode()
+    return b"%08x %08x %s\n" % (zlib.crc32(body), len(body), body)
+
+
+def _record_at(*, data: bytes, offset: int) -> tuple[bytes | None, int]:
+    """The body that begins at offset, if its checksum holds, and where the record ends."""
+    head = data[offset : offset + HEAD_BYTES]
+    if len(head) < HEAD_BYTES or head[8:9] != b" " or head[17:18] != b" ":
+        return None, offset
+    try:
+        checksum, size = int(head[:8], 16), int(head[9:17], 16)
+    except ValueError:
+        return None, offset
+    body = data[offset + HEAD_BYTES : offset + HEAD_BYTES + size]
+    if len(body) < size or zlib.crc32(body) != checksum:
+        return None, offset
+    return body, offset + HEAD_BYTES + size + 1
+
+
+def parse(*, data: bytes) -> tuple[list[dict[str, Any]], int]:
+    """The records and where they end. A bad last record is torn and does not count; a bad one with a
+    good one behind it is damage."""
+    records: list[dict[str, Any]] = []
+    offset = 0
+    while offset < len(data):
+        body, end = _record_at(data=data, offset=offset)
+        if body is None or data[end - 1 : end] != b"\n":
+            if body is not None and end < len(data):
+                raise LedgerDamaged(offset)
+            later = data.find(b"\n", offset)
+            while later >= 0:
+                if _record_at(data=data, offset=later + 1)[0] is not None:
+                    raise LedgerDamaged(offset)
+                later = data.find(b"\n", later + 1)
+            break
+        records.append(json.loads(body))
+        offset = end
+    return records, offset
+
+
+class Ledger:
+    """Records on disk. Invariant: `sizeBytes` is the end of the last synced record; what lies beyond
+    it in the file is cut off by the next append."""
+
+    def __init__(self, *, host: Host, folder: Folder, name: str) -> None:
+        self.host = host
+        self.folder = folder
+        self.name = name
+        self.sizeBytes = 0
+        self.rewrittenBytes = 0
+
+    def load(self) -> list[dict[str, Any]] | None:
+        """What was synced; None when there is no file."""
+        data = self.folder.read(name=self.name)
+        if data is None:
+            return None
+        try:
+            records, self.sizeBytes = parse(data=data)
+        except LedgerDamaged as damage:
+            self.host.log(Note.DISK_CORRUPT, file=self.name, offset=damage.args[0])
+            raise
+        self.rewrittenBytes = self.sizeBytes
+        if self.sizeBytes < len(data):
+            self.host.log(Note.DISK_TORN, file=self.name, lostBytes=len(data) - self.sizeBytes)
+        return records
+
+    def append(self, *, records: list[dict[str, Any]]) -> None:
+        """On return the records are synced; on an OSError none of them counts."""
+        data = b"".join(line(record=record) for record in records)
+        self.folder.append(name=self.name, data=data, offset=self.sizeBytes)
+        self.sizeBytes += len(data)
+
+    def rewrite(self, *, records: list[dict[str, Any]]) -> None:
+        data = b"".join(line(record=record) for record in records)
+        self.folder.replace(name=self.name, data=data)
+        self.host.log(Note.LEDGER_REWRITTEN, file=self.name, beforeBytes=self.sizeBytes, afterBytes=len(data))
+        self.sizeBytes = len(data)
+        self.rewrittenBytes = len(data)
+
+
+def test_every_prefix_of_a_file_gives_the_whole_records_before_it():
+    records = [{"n": n, "text": "x\\n" * n} for n in range(5)]
+    lines = [line(record=record) for record in records]
+    data = b"".join(lines)
+    ends = [sum(map(len, lines[:n])) for n in range(6)]
+    for cut in range(len(data) + 1):
+        whole = sum(1 for end in ends[1:] if end <= cut)
+        assert parse(data=data[:cut]) == (records[:whole], ends[whole])
+
+
+def test_damage_in_the_middle_is_not_read_past():
+    lines = [line(record={"n": n}) for n in range(3)]
+    for place in range(len(lines[0]), len(lines[0]) + len(lines[1])):
+        data = bytearray(b"".join(lines))
+        data[place] ^= 0x01
+        try:
+            parse(data=bytes(data))
+        except LedgerDamaged as damage:
+            assert damage.args[0] == len(lines[0])
+            continue
+        raise AssertionError(place)
--- /dev/null
+++ b/dockmux/accord/web.py
@@ -0,0 +1,142 @@
+"""HTTP at the seam: serving through eventlet's WSGI engine, asking through urllib3."""
+
+import json
+import logging
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Any
+
+import urllib3.connection
+from eventlet import wsgi
+
+from dockmux.accord.host import Host, split_address
+from dockmux.accord.kinds import Answer, Outcome
+
+SEND_LIMIT = timedelta(seconds=10)
+_quiet = logging.getLogger("dockmux.web")
+_quiet.addHandler(logging.NullHandler())
+_quiet.propagate = False
+
+REASONS = {
+    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
+    410: "Gone", 412: "Precondition Failed", 413: "Content Too Large", 415: "Unsupported Media Type",
+    422: "Unprocessable Content", 428: "Precondition Required", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout", 507: "Insufficient Storage",
+}  # fmt: skip
+
+
+class Visit:
+    """One HTTP request that is being answered."""
+
+    def __init__(self, *, environ: dict[str, Any], start_response: Callable[..., Any]) -> None:
+        environ["eventlet.minimum_write_chunk_size"] = 0
+        self.environ = environ
+        self.start_response = start_response
+        self.method: str = environ["REQUEST_METHOD"]
+        self.path: str = environ.get("PATH_INFO", "/")
+
+    def header(self, *, name: str) -> str:
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+
+    @property
+    def content_type(self) -> str:
+        return (self.environ.get("CONTENT_TYPE") or "").partition(";")[0].strip().lower()
+
+    def body(self, *, limitBytes: int) -> bytes | None:
+        """The whole body; None when it is longer than the limit."""
+        length = self.environ.get("CONTENT_LENGTH")
+        if length and int(length) > limitBytes:
+            return None
+        data = self.environ["wsgi.input"].read(limitBytes + 1) if length or self._chunked else b""
+        return None if len(data) > limitBytes else data
+
+    @property
+    def _chunked(self) -> bool:
+        return self.environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+
+    def begin(self, *, status: int, headers: list[tuple[str, str]]) -> None:
+        self.start_response(f"{status} {REASONS[status]}", headers)
+
+    def reply(self, *, status: int, fields: Any, headers: Iterable[tuple[str, str]] = ()) -> list[bytes]:
+        data = json.dumps(fields).encode() + b"\n"
+        kept = [("Content-Type", "application/json"), ("Content-Length", str(len(data))), *headers]
+        self.begin(status=status, headers=kept)
+        return [data]
+
+    def conclude(self, *, outcome: Outcome) -> list[bytes]:
+        """The one place that turns an outcome into HTTP."""
+        answer: Answer = outcome.answer
+        headers = []
+        fields = {"outcome": outcome.kind.value, **outcome.detail}
+        if answer.retry:
+            fields["retryMs"] = outcome.retryMs
+            headers.append(("Retry-After", str(max(1, -(-outcome.retryMs // 1000)))))
+        if outcome.kind in ("too_large", "bad_type"):
+            headers.append(("Connection", "close"))
+        return self.reply(status=answer.status, fields=fields, headers=headers)
+
+
+def serve(*, listener: Any, site: Callable[[Visit], Iterable[bytes]]) -> None:
+    """Serves on a socket that is bound already, so that a taken address shows at the daemon's start."""
+
+    def application(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+        return site(Visit(environ=environ, start_response=start_response))
+
+    wsgi.server(
+        listener,
+        application,
+        log=_quiet,
+        log_output=False,
+        debug=False,
+        keepalive=60,
+        max_size=4096,
+        socket_timeout=SEND_LIMIT.total_seconds(),
+    )
+
+
+class HttpStream(urllib3.connection.HTTPConnection):
+    """One HTTP stream whose socket comes from the seam. Redirects and retries do not exist here:
+    they belong to urllib3's pools, which are not used. Invariant: `whole` is true only while every
+    exchange begun on the stream has been read to its end."""
+
+    def __init__(self, *, host: Host, address: str, wait: timedelta) -> None:
+        ip, port = split_address(address=address)
+        super().__init__(ip, port, timeout=wait.total_seconds())
+        self.seam = host
+        self.target = address
+        self.wait = wait
+        self.identity: dict[str, Any] = {}
+        self.whole = False
+
+    def __enter__(self) -> "HttpStream":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def _new_conn(self) -> Any:
+        return self.seam.connect(address=self.target, wait=self.wait)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether an idle stream may be used: nothing has come in, its end included."""
+        return self.sock is not None and not self.seam.readable(sock=self.sock)
+
+    def ask(self, *, method: str, path: str, fields: Any = None, headers: dict[str, str] | None = None) -> Any:
+        """Sends one request and gives the response, its body still to be read."""
+        data = None if fields is None else json.dumps(fields).encode()
+        kept = {"Content-Type": "application/json"} if data is not None else {}
+        self.request(method, path, body=data, headers={**kept, **(headers or {})}, preload_content=False)
+        return self.getresponse()
+
+
+def fetch(
+    *, host: Host, address: str, method: str, path: str, wait: timedelta,
+    fields: Any = None, headers: dict[str, str] | None = None,
+) -> tuple[int, Any, dict[str, str]]:  # fmt: skip
+    """One whole exchange on a stream of its own: status, JSON, headers."""
+    with HttpStream(host=host, address=address, wait=wait) as stream:
+        stream.connect()
+        response = stream.ask(method=method, path=path, fields=fields, headers=headers)
+        data = response.read()
+        return response.status, json.loads(data) if data else None, dict(response.headers)
--- /dev/null
+++ b/dockmux/accord/wire.py
@@ -0,0 +1,92 @@
+"""Asking and answering between dockmux's own processes: one message out, one back, over netstrings."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord import codec
+from dockmux.accord.catalogue import Note
+from dockmux.accord.crew import Crew
+from dockmux.accord.frames import FrameStream
+from dockmux.accord.host import Host, within
+
+IDLE_LIMIT = 8
+
+
+class Caller:
+    """Streams to other daemons. Invariant: an idle stream has no answer outstanding."""
+
+    def __init__(self, *, host: Host) -> None:
+        self.host = host
+        self.idle: dict[str, list[FrameStream]] = {}
+
+    def __enter__(self) -> "Caller":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for streams in self.idle.values():
+            for stream in streams:
+                stream.__exit__(None, None, None)
+        self.idle.clear()
+
+    def call(self, *, address: str, ask: Any, wait: timedelta) -> Any:
+        """The answer, or an OSError; after one it is not known whether the ask was carried out."""
+        kept = self.idle.get(address)
+        if kept:
+            return self._exchange(stream=kept.pop(), address=address, ask=ask, wait=wait)
+        with within(wait=wait):
+            sock = self.host.connect(address=address, wait=wait)
+        sock.settimeout(None)
+        return self._exchange(stream=FrameStream(sock=sock), address=address, ask=ask, wait=wait)
+
+    def _exchange(self, *, stream: FrameStream, address: str, ask: Any, wait: timedelta) -> Any:
+        done = False
+        try:
+            with within(wait=wait):
+                stream.send(data=codec.encode(message=ask))
+                reply = codec.decode(data=stream.receive())
+            done = True
+        except codec.Malformed as error:
+            raise OSError(f"bad answer: {error}") from None
+        finally:
+            kept = self.idle.setdefault(address, [])
+            if done and len(kept) < IDLE_LIMIT:
+                kept.append(stream)
+            else:
+                stream.__exit__(None, None, None)
+                # The others are likely dead as well, as after the peer's restart.
+                while not done and kept:
+                    kept.pop().__exit__(None, None, None)
+        return reply
+
+
+class Desk:
+    """Answers asks: a table from message type to the function that answers it."""
+
+    def __init__(self, *, host: Host, listener: Any, answers: dict[type, Callable[..., Any]]) -> None:
+        self.host = host
+        self.listener = listener
+        self.answers = answers
+
+    def run(self) -> None:
+        with Crew(host=self.host) as crew:
+            while True:
+                sock, _ = self.listener.accept()
+                crew.start(task=self._stream, sock=sock)
+
+    def _stream(self, *, sock: Any) -> None:
+        with FrameStream(sock=sock) as stream:
+            while True:
+                try:
+                    ask = codec.decode(data=stream.receive())
+                    answer = self.answers[type(ask)]
+                except OSError:
+                    return
+                except (codec.Malformed, KeyError) as error:
+                    self.host.log(Note.BAD_FRAME, error=error)
+                    return
+                reply = answer(ask=ask)
+                try:
+                    stream.send(data=codec.encode(message=reply))
+                except OSError:
+                    return
--- /dev/null
+++ b/dockmux/edict/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/dockmux/guise/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for an engine."""
--- /dev/null
+++ b/dockmux/guise/engine.py
@@ -0,0 +1,238 @@
+"""One engine's stand-in: reads prompts, streams answers, hands memory over, takes orders, records the truth."""
+
+import contextlib
+import dataclasses
+import json
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from typing import Any
+
+from eventlet.semaphore import Semaphore
+
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host, within
+from dockmux.accord.span import ms, to_us
+from dockmux.accord.web import Visit, fetch, serve
+from dockmux.guise import model
+
+MEMORY_MOST = 2000
+PREFIXES_MOST = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Speed:
+    """How fast the engine works. Long prompts cost reading, long answers writing."""
+
+    readBaseMs: int = 20
+    readPerKbMs: int = 12
+    writeBaseMs: int = 10
+    writePerPieceMs: int = 8
+    prefill_slots: int = 4
+    decode_slots: int = 12
+    memoryMs: int = 20_000
+
+
+class Engine:
+    """Invariants: `history` is the ground truth, appended to as things happen; at most one phase's slots are
+    worked in, and `memory` holds what was read here and has not lapsed."""
+
+    def __init__(
+        self, *, host: Host, name: str, service: str, address: str, phase: str, speed: Speed | None = None,
+        record: str = "",
+    ) -> None:  # fmt: skip
+        self.host = host
+        self.name = name
+        self.service = service
+        self.address = address
+        self.phase = phase
+        self.speed = speed or Speed()
+        self.record = record
+        self.incarnation = f"{host.random.getrandbits(64):016x}"
+        self.leaving = False
+        self.order_mark = 0
+        self.running_count = 0
+        self.queued = 0
+        self.slots = {
+            "prefill": Semaphore(self.speed.prefill_slots),
+            "decode": Semaphore(self.speed.decode_slots),
+        }
+        self.memory: OrderedDict[str, tuple[timedelta, dict[str, Any], str]] = OrderedDict()
+        self.prefixes: OrderedDict[str, bool] = OrderedDict()
+        self.history: list[dict[str, Any]] = []
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator["Engine"]:
+        with contextlib.ExitStack() as stack:
+            self.file = stack.enter_context(open(self.record, "a")) if self.record else None
+            crew = stack.enter_context(Crew(host=self.host))
+            listener = stack.enter_context(self.host.listen(address=self.address))
+            crew.keep(task=serve, listener=listener, site=self.site)
+            self.note(what="start")
+            yield self
+
+    def drain(self) -> int:
+        if not self.leaving:
+            self.leaving = True
+            self.note(what="leaving")
+        return self.running_count + self.queued
+
+    def note(self, *, what: str, **fields: Any) -> None:
+        row = {
+            "atUs": to_us(self.host.elapsed()), "engine": self.name, "incarnation": self.incarnation,
+            "service": self.service, "what": what, **fields,
+        }  # fmt: skip
+        self.history.append(row)
+        if self.file is not None:
+            self.file.write(json.dumps(row) + "\n")
+            self.file.flush()
+
+    def site(self, visit: Visit) -> Iterable[bytes]:
+        method, path = visit.method, visit.path
+        if method == "GET" and path == "/identity":
+            return visit.reply(status=200, fields=self._identity())
+        if method == "GET" and path == "/status":
+            return visit.reply(status=200, fields=self._status())
+        if method == "GET" and path.startswith("/memory/"):
+            return self._hand_over(visit=visit, token=path[8:])
+        if method == "POST" and path in ("/prefill", "/decode", "/order", "/leave"):
+            fields = json.loads(visit.body(limitBytes=1 << 24) or b"{}")
+            answer = {
+                "/prefill": self._prefill, "/decode": self._decode, "/order": self._order, "/leave": self._leave,
+            }[path]  # fmt: skip
+            return answer(visit=visit, fields=fields)
+        return visit.reply(status=404, fields={"why": "no such path"})
+
+    def _identity(self) -> dict[str, Any]:
+        return {"service": self.service, "engine": self.name, "incarnation": self.incarnation}
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            **self._identity(), "phase": self.phase, "running": self.running_count, "queued": self.queued,
+            "leaving": self.leaving, "order_mark": self.order_mark,
+            "capacity": self.speed.prefill_slots if self.phase == "prefill" else self.speed.decode_slots,
+        }  # fmt: skip
+
+    def _leave(self, *, visit: Visit, fields: dict[str, Any]) -> list[bytes]:
+        self.leaving = True
+        self.note(what="leaving")
+        return visit.reply(status=200, fields=self._status())
+
+    def _order(self, *, visit: Visit, fields: dict[str, Any]) -> list[bytes]:
+        self.note(what="order", mark=fields["mark"], phase=fields["phase"], by=fields["by"])
+        if fields["mark"] < self.order_mark:
+            return visit.reply(status=409, fields={"why": "an order of a later permit was taken"})
+        self.order_mark = fields["mark"]
+        if fields["phase"] != self.phase:
+            self.phase = fields["phase"]
+            self.note(what="phase", phase=self.phase)
+        return visit.reply(status=200, fields=self._status())
+
+    def _will_not(self, *, visit: Visit, fields: dict[str, Any], phase: str) -> list[bytes] | None:
+        why = ""
+        if self.leaving:
+            why = "leaving"
+        elif self.phase != phase:
+            why = f"in phase {self.phase}"
+        elif fields["incarnation"] != self.incarnation or fields["service"] != self.service:
+            why = "not that engine"
+        if not why:
+            return None
+        self.note(what="rejected", request=fields["request"], why=why, mark=fields["mark"])
+        return visit.reply(status=409, fields={"why": why})
+
+    @contextlib.contextmanager
+    def _slot(self, *, phase: str) -> Iterator[None]:
+        self.queued += 1
+        try:
+            self.slots[phase].acquire()
+        finally:
+            self.queued -= 1
+        self.running_count += 1
+        try:
+            yield
+        finally:
+            self.running_count -= 1
+            self.slots[phase].release()
+
+    def _prefill(self, *, visit: Visit, fields: dict[str, Any]) -> list[bytes]:
+        refused = self._will_not(visit=visit, fields=fields, phase="prefill")
+        if refused is not None:
+            return refused
+        request = fields["request"]
+        self.note(what="prefill", request=request, lane=fields["lane"], mark=fields["mark"])
+        with self._slot(phase="prefill"):
+            warm = fields["prefix_digest"] in self.prefixes
+            self.prefixes[fields["prefix_digest"]] = True
+            self.prefixes.move_to_end(fields["prefix_digest"])
+            while len(self.prefixes) > PREFIXES_MOST:
+                self.prefixes.popitem(last=False)
+            size = len(fields["prompt"]) + (0 if warm else len(fields["prefix"]))
+            self.host.sleep(wait=ms(self.speed.readBaseMs + self.speed.readPerKbMs * size // 1024))
+        token = f"{self.host.random.getrandbits(64):016x}"
+        memory = {
+            "token": token, "engine": self.name, "incarnation": self.incarnation, "request": request,
+            "prefix_digest": fields["prefix_digest"], "model": fields["model"], "adapter": fields["adapter"],
+        }  # fmt: skip
+        digest = model.prompt_digest(prompt=fields["prompt"], prefix=fields["prefix"])
+        self.memory[token] = (self.host.elapsed() + ms(self.speed.memoryMs), memory, digest)
+        while len(self.memory) > MEMORY_MOST:
+            self.memory.popitem(last=False)
+        self.note(what="prefilled", request=request, warm=warm)
+        return visit.reply(status=200, fields={"memory": memory})
+
+    def _hand_over(self, *, visit: Visit, token: str) -> list[bytes]:
+        lapses, memory, digest = self.memory.get(token, (timedelta(), None, ""))
+        if self.host.elapsed() >= lapses:
+            return visit.reply(status=410, fields={"why": "lapsed"})
+        return visit.reply(status=200, fields={"memory": memory, "digest": digest})
+
+    def lapse(self) -> None:
+        """All memory handed over or to be handed over is gone at once."""
+        self.note(what="lapse")
+        self.memory.clear()
+
+    def _decode(self, *, visit: Visit, fields: dict[str, Any]) -> Iterable[bytes]:
+        refused = self._will_not(visit=visit, fields=fields, phase="decode")
+        if refused is not None:
+            return refused
+        told = None
+        try:
+            with within(wait=ms(min(max(fields["horizonMs"], 1), 5000))):
+                status, told, _ = fetch(
+                    host=self.host, address=fields["source"], method="GET",
+                    path="/memory/" + fields["memory"]["token"], wait=ms(1000),
+                )  # fmt: skip
+        except OSError:
+            status = 0
+        if status != 200 or told["memory"]["incarnation"] != fields["memory"]["incarnation"]:
+            self.note(what="no_memory", request=fields["request"], mark=fields["mark"])
+            return visit.reply(status=410, fields={"why": "the memory is not there any more"})
+        return self._write(visit=visit, fields=fields, memory=told["memory"], digest=told["digest"])
+
+    def _write(self, *, visit: Visit, fields: dict[str, Any], memory: dict[str, Any], digest: str) -> Iterator[bytes]:
+        request = fields["request"]
+        self.note(
+            what="decode",
+            request=request,
+            lane=fields["lane"],
+            mark=fields["mark"],
+            memory_of=memory["request"],
+        )
+        with self._slot(phase="decode"):
+            visit.begin(status=200, headers=[("Content-Type", "application/x-ndjson")])
+            yield json.dumps({"memory": memory}).encode() + b"\n"
+            self.host.sleep(wait=ms(self.speed.writeBaseMs))
+            total = model.count(pieces=fields["pieces"], digest=digest)
+            for n in range(fields["from"], total):
+                self.host.sleep(wait=ms(self.speed.writePerPieceMs))
+                text = model.piece(
+                    request=memory["request"],
+                    model=memory["model"],
+                    adapter=memory["adapter"],
+                    digest=digest,
+                    n=n,
+                )
+                yield json.dumps({"request": request, "n": n, "text": text}).encode() + b"\n"
+            yield json.dumps({"end": True, "count": max(total, fields["from"])}).encode() + b"\n"
+        self.note(what="decoded", request=request, pieces=total)
--- /dev/null
+++ b/dockmux/guise/program.py
@@ -0,0 +1,35 @@
+"""The engine stand-in's program."""
+
+import argparse
+import sys
+
+from dockmux.accord.daemon import run
+from dockmux.accord.host import Host
+from dockmux.accord.settings import check
+from dockmux.guise.engine import Engine, Speed
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="guise", description="Stands in for one engine.")
+    parser.add_argument("--name", required=True, help="the engine's name")
+    parser.add_argument("--service", required=True, help="the service it belongs to")
+    parser.add_argument("--address", required=True, help="IP and port")
+    parser.add_argument("--phase", choices=["prefill", "decode"], default="prefill", help="the phase it starts in")
+    parser.add_argument("--record", default="", help="file for the ground truth, one JSON row a line")
+    for field, value in Speed.__dataclass_fields__.items():
+        flag = "--" + field.replace("_", "-")
+        parser.add_argument(flag, dest=field, type=int, default=value.default, help=f"default {value.default}")
+    parsed = parser.parse_args(argv)
+    fields = {"name": parsed.name, "site": "engines", "address": parsed.address, "http": parsed.address}
+    settings = check(fields={**fields, "seeds": [parsed.address]})
+    host = Host(name=parsed.name)
+    speed = Speed(**{field: getattr(parsed, field) for field in Speed.__dataclass_fields__})
+    engine = Engine(
+        host=host, name=parsed.name, service=parsed.service, address=parsed.address, phase=parsed.phase,
+        speed=speed, record=parsed.record,
+    )  # fmt: skip
+    return run(host=host, settings=settings, running=engine.running())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dockmux/omen/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator and the checkers of the twelve rules."""
--- /dev/null
+++ b/dockmux/pact/chain.py
@@ -0,0 +1,492 @@
+"""Chain replication: changes enter at the head, are synced by each member, and are answered from the tail."""
+
+import dataclasses
+from datetime import timedelta
+from typing import Any
+
+from eventlet.event import Event
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Host, within
+from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import ZERO, instant_us, ms
+from dockmux.accord.types import (
+    Append,
+    Appended,
+    ConfirmAsk,
+    ConfirmReply,
+    Entry,
+    JoinAsk,
+    JoinReply,
+    PeerCard,
+    WriteAsk,
+    WriteReply,
+)  # fmt: skip
+from dockmux.accord.wire import Caller
+from dockmux.pact.council import Council
+from dockmux.pact.state import State
+from dockmux.pact.vault import Vault
+from dockmux.tempo.gossip import Gossip
+
+WRITE_LIMIT = timedelta(seconds=4)
+PUSH_LIMIT = timedelta(seconds=2)
+STALL_LIMIT = timedelta(seconds=3)
+BATCH_MOST = 256
+JOIN_CHUNK = 2000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Write:
+    """A change on its way. Invariant: `done` is sent exactly once, with an Outcome."""
+
+    change: dict[str, Any]
+    done: Event = dataclasses.field(default_factory=Event)
+    mark: int = 0
+
+
+class Chain:
+    """One member's part of the chain.
+
+    Invariants:
+    - `entries` in the vault have no gap; each member's are a prefix of its predecessor's;
+    - `state` is folded up to the last entry known to be acknowledged by a tail under permit;
+    - `planned` is folded up to the last synced entry, and only the head uses it, to judge the next change;
+    - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
+      entry is held by every member, and the tail before may have acknowledged it;
+    - `learned` says since when a configuration is known here to be acknowledged;
+    - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: Host,
+        settings: Settings,
+        vault: Vault,
+        council: Council,
+        gossip: Gossip,
+        caller: Caller,
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.vault = vault
+        self.council = council
+        self.gossip = gossip
+        self.caller = caller
+        self.state = vault.base.copy()
+        self.planned = self._plan()
+        self.planned_view = 0
+        self.tail_view = 0
+        self.extending = council.extending
+        self.pending: list[Write] = []
+        self.waiting: list[Write] = []
+        self.stir = Event()
+        self.news = Event()
+        self.known_at = ZERO
+        self.learned: dict[int, timedelta] = {}
+        self.needs_snapshot = True
+        self.pushed_at = host.elapsed()
+        self.disk_busy_since: timedelta | None = None
+        self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
+        self._note_learned()
+
+    def _plan(self) -> State:
+        planned = self.vault.base.copy()
+        for entry in self.vault.entries:
+            planned.fold(mark=entry.mark, change=entry.change)
+        return planned
+
+    @property
+    def synced(self) -> int:
+        return self.vault.entries[-1].mark if self.vault.entries else self.vault.base.mark
+
+    # Writing.
+
+    def write(self, *, change: dict[str, Any], relayed: bool = False) -> Outcome:
+        """Carries a change to the head and waits for the tail's acknowledgement, but not for ever."""
+        view = self.council.view
+        if view is None:
+            return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "no view yet"})
+        if not self.council.is_head():
+            return self._relay(head=view.chain[0], change=change, relayed=relayed)
+        if not self.council.under_permit():
+            return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "the head holds no permit"})
+        if len(view.chain) < 2:
+            return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "one copy only: two must hold a change"})
+        write = Write(change=change)
+        self.pending.append(write)
+        self._stir()
+        try:
+            with within(wait=WRITE_LIMIT):
+                return write.done.wait()
+        except TimeoutError:
+            if write in self.pending:
+                self.pending.remove(write)
+                return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "not taken up in time"})
+            return Outcome(kind=Kind.UNKNOWN, detail={"why": "not acknowledged in time"})
+
+    def _relay(self, *, head: str, change: dict[str, Any], relayed: bool) -> Outcome:
+        address = self.council.address(disk=head)
+        if relayed or address is None:
+            return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "the head cannot be reached"})
+        ask = WriteAsk(change=change, relayed=True)
+        try:
+            reply = self.caller.call(address=address, ask=ask, wait=WRITE_LIMIT + PUSH_LIMIT)
+        except ConnectionRefusedError:
+            return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "the head cannot be reached"})
+        except OSError:
+            return Outcome(kind=Kind.UNKNOWN, detail={"why": "the head did not answer"})
+        return Outcome(kind=Kind(reply.kind), detail=reply.detail)
+
+    def on_write(self, *, ask: WriteAsk) -> WriteReply:
+        outcome = self.write(change=ask.change, relayed=ask.relayed)
+        return WriteReply(kind=outcome.kind.value, mark=outcome.detail.get("mark", 0), detail=outcome.detail)
+
+    def _stir(self) -> None:
+        stir, self.stir = self.stir, Event()
+        stir.send(None)
+
+    def run_head(self) -> None:
+        """Takes up pending changes, adds them, and has the rest of the chain follow."""
+        while True:
+            self._settle_lost()
+            if not self.council.is_head() or not self.council.under_permit():
+                self.host.sleep(wait=ms(50))
+                continue
+            if self.planned_view != self.council.view.number:
+                self.planned = self._plan()
+                self.planned_view = self.council.view.number
+            if not self.pending and self.state.mark == self.synced:
+                self._rest()
+                continue
+            try:
+                self._extend()
+                self._push()
+            except OSError:
+                self.host.sleep(wait=ms(50))
+
+    def _rest(self) -> None:
+        try:
+            with within(wait=ms(50)):
+                self.stir.wait()
+        except TimeoutError:
+            return
+
+    def _settle_lost(self) -> None:
+        """A head that was replaced does not know what became of its changes."""
+        if self.waiting and not self.council.is_head():
+            for write in self.waiting:
+                write.done.send(Outcome(kind=Kind.UNKNOWN, detail={"why": "the head was replaced"}))
+            self.waiting.clear()
+
+    def _extend(self) -> None:
+        with self.extending:
+            if not (self.council.is_head() and self.council.under_permit()):
+                return
+            taken, self.pending = self.pending[:BATCH_MOST], self.pending[BATCH_MOST:]
+            accepted: list[Write] = []
+            planned = self.planned.copy()
+            entries: list[Entry] = []
+            for write in taken:
+                outcome = self._judge(write=write, planned=planned)
+                if outcome is not None:
+                    write.done.send(outcome)
+                    continue
+                write.mark = planned.mark + 1
+                planned.fold(mark=write.mark, change=write.change)
+                entries.append(Entry(mark=write.mark, change=write.change))
+                accepted.append(write)
+            if not entries:
+                return
+            try:
+                self._sync(entries=entries)
+            except OSError as error:
+                for write in accepted:
+                    write.done.send(Outcome(kind=Kind.DISK_FULL, detail={"why": str(error)}))
+                raise
+            self.planned = planned
+            self.waiting.extend(accepted)
+
+    def _sync(self, *, entries: list[Entry]) -> None:
+        self.disk_busy_since = self.host.elapsed()
+        try:
+            self.vault.append(entries=entries)
+            self.council.ailing = False
+        except OSError as error:
+            if not self.council.ailing:
+                self.host.log(Note.DISK_FAILED, error=error)
+            self.council.ailing = True
+            raise
+        finally:
+            self.disk_busy_since = None
+
+    def _judge(self, *, write: Write, planned: State) -> Outcome | None:
+        """Why a change is refused; None when it is taken. Fills in what only the head can know."""
+        change = write.change
+        nowUs = instant_us(self.gossip.clock.use())
+        if change["kind"] == "config":
+            current = planned.config.mark if planned.config else 0
+            if change["based_on"] != current:
+                return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark": current})
+            last = instant_us(planned.config.activate) if planned.config else 0
+            change["activateUs"] = max(nowUs + self.settings.activateMs * 1000, last + 1)
+        elif change["kind"] == "engines":
+            if change.get("based_on") not in (None, planned.engines_mark):
+                return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark": planned.engines_mark})
+        elif change["kind"] == "claim":
+            change["atUs"] = nowUs
+            held = planned.claims.get(change["key"])
+            if held is not None:
+                return Outcome(kind=Kind.CLAIMED, detail={"holder": held[1]})
+            if len(planned.claims) >= self.settings.claim_limit:
+                return Outcome(kind=Kind.BUSY, detail={"why": "claims are full"}, retryMs=60_000)
+        return None
+
+    # Passing on.
+
+    def _successor(self) -> str | None:
+        chain = self.council.view.chain
+        place = chain.index(self.council.me) + 1
+        return chain[place] if place < len(chain) else None
+
+    def _push(self) -> None:
+        """One round with the successor; on return what it acknowledged is in the state."""
+        number = self.council.view.number
+        successor = self._successor()
+        if successor is None:
+            self.acting_tail()
+            self.host.sleep(wait=ms(50))
+            return
+        address = self.council.address(disk=successor)
+        if address is None:
+            self.host.sleep(wait=ms(50))
+            return
+        mark = self.state.mark
+        for _ in range(1000):
+            ask = Append(number=number, mark=mark, entries=self._after(mark=mark)[:BATCH_MOST])
+            reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
+            if self.council.view.number != number:
+                return
+            if reply.state == "behind":
+                mark = reply.mark
+                continue
+            if reply.state == "acked":
+                self.pushed_at = self.host.elapsed()
+                self._acknowledge(mark=reply.mark)
+            else:
+                self.council.learn(view=reply.view)
+                self.host.sleep(wait=ms(50))
+            return
+
+    def _after(self, *, mark: int) -> list[Entry]:
+        base = self.vault.base.mark
+        return self.vault.entries[max(mark - base, 0) :]
+
+    def on_append(self, *, ask: Append) -> Appended:
+        council = self.council
+        with self.extending:
+            if council.view is None or council.view.number != ask.number or not council.member():
+                return Appended(state="refused", mark=self.synced, view=council.view)
+            if ask.mark > self.synced:
+                return Appended(state="behind", mark=self.synced)
+            fresh = [entry for entry in ask.entries if entry.mark > self.synced]
+            if fresh and fresh[0].mark != self.synced + 1:
+                # The predecessor no longer has what is between: out, and back in by a snapshot.
+                council.ailing = True
+                return Appended(state="refused", mark=self.synced)
+            if fresh:
+                try:
+                    self._sync(entries=fresh)
+                except OSError:
+                    return Appended(state="disk", mark=self.synced)
+                for entry in fresh:
+                    self.planned.fold(mark=entry.mark, change=entry.change)
+            upto = self.synced
+        if council.is_tail():
+            if not self.acting_tail():
+                return Appended(state="refused", mark=upto)
+            self._acknowledge(mark=upto)
+            return Appended(state="acked", mark=upto)
+        try:
+            self._push()
+        except OSError:
+            return Appended(state="refused", mark=upto)
+        return Appended(state="acked", mark=self.state.mark)
+
+    def _acknowledge(self, *, mark: int) -> None:
+        """Folds what a tail has acknowledged and tells the waiting writers."""
+        newest = self.state.news_mark
+        for entry in self._after(mark=self.state.mark):
+            if entry.mark > mark:
+                break
+            self.state.fold(mark=entry.mark, change=entry.change)
+        self._note_learned()
+        if self.state.news_mark != newest:
+            news, self.news = self.news, Event()
+            news.send(None)
+        done = [write for write in self.waiting if write.mark <= self.state.mark]
+        self.waiting = [write for write in self.waiting if write.mark > self.state.mark]
+        for write in done:
+            if len(self.council.view.chain) < 2:
+                why = {"why": "one copy only"}
+                write.done.send(Outcome(kind=Kind.UNKNOWN, detail=why))
+                continue
+            detail = {"mark": write.mark}
+            if "activateUs" in write.change:
+                detail["activateUs"] = write.change["activateUs"]
+            write.done.send(Outcome(kind=Kind.ANSWERED, detail=detail))
+
+    def _note_learned(self) -> None:
+        for config in self.state.configs:
+            self.learned.setdefault(config.mark, self.host.elapsed())
+        while len(self.learned) > 50:
+            del self.learned[min(self.learned)]
+
+    def run_upkeep(self) -> None:
+        """Rewrites a long file, notices a stalled disk, and tries a failed one again."""
+        while True:
+            self.host.sleep(wait=ms(500))
+            busy = self.disk_busy_since
+            if busy is not None and self.host.elapsed() - busy > STALL_LIMIT:
+                self.council.ailing = True
+            elif self.council.ailing and not self.council.member():
+                with self.extending:
+                    try:
+                        self.vault.vote(disk=self.vault.disk)
+                        self.council.ailing = False
+                    except OSError:
+                        continue
+            with self.extending:
+                try:
+                    self.vault.shorten(state=self.state)
+                except OSError as error:
+                    self.host.log(Note.DISK_FAILED, error=error)
+
+    # What the tail knows, and how old our knowledge of it is.
+
+    def acting_tail(self) -> bool:
+        """Whether this member may answer as the tail."""
+        council = self.council
+        if not council.is_tail() or not council.under_permit():
+            return False
+        if self.tail_view != council.view.number:
+            self._acknowledge(mark=self.synced)
+            self.tail_view = council.view.number
+        return True
+
+    def age(self) -> timedelta:
+        if self.acting_tail():
+            return ZERO
+        return self.host.elapsed() - self.known_at
+
+    def run_confirming(self) -> None:
+        while True:
+            self.host.sleep(wait=self.council.permit / 8)
+            council = self.council
+            if not council.member() or council.is_tail():
+                continue
+            address = council.address(disk=council.view.chain[-1])
+            if address is None:
+                continue
+            sent = self.host.elapsed()
+            ask = ConfirmAsk(number=council.view.number, sessions=self.own_sessions())
+            try:
+                reply = self.caller.call(address=address, ask=ask, wait=council.permit / 2)
+            except OSError:
+                continue
+            council.learn(view=reply.view)
+            if reply.granted and council.view.number == ask.number and reply.mark <= self.synced:
+                self._acknowledge(mark=reply.mark)
+                self.known_at = max(self.known_at, sent)
+            self._hear_sessions(cards=reply.sessions)
+
+    def on_confirm(self, *, ask: ConfirmAsk) -> ConfirmReply:
+        council = self.council
+        self._hear_sessions(cards=ask.sessions)
+        view = council.view
+        granted = view is not None and view.number == ask.number and self.acting_tail()
+        return ConfirmReply(
+            granted=granted,
+            mark=self.state.mark,
+            view=view if view is not None and view.number > ask.number else None,
+            sessions=self.own_sessions(),
+        )
+
+    # Sessions of data daemons.
+
+    def note_session(self, *, card: PeerCard) -> None:
+        self.sessions[card.name] = (card, self.host.elapsed() - ms(card.ageMs))
+
+    def _hear_sessions(self, *, cards: list[PeerCard]) -> None:
+        for card in cards:
+            heard = self.host.elapsed() - ms(card.ageMs)
+            known = self.sessions.get(card.name)
+            if known is None or known[1] < heard:
+                self.sessions[card.name] = (card, heard)
+
+    def own_sessions(self) -> list[PeerCard]:
+        """Every session that stands, wherever it was renewed, with its age."""
+        now = self.host.elapsed()
+        limit = ms(self.settings.peerSilenceMs)
+        self.sessions = {n: (c, heard) for n, (c, heard) in self.sessions.items() if now - heard < limit}
+        return [
+            dataclasses.replace(card, ageMs=(now - heard) // ms(1))
+            for card, heard in sorted(self.sessions.values(), key=lambda s: s[0].name)
+        ]
+
+    # Coming in, or back in, at the tail.
+
+    def run_joining(self) -> None:
+        while True:
+            self.host.sleep(wait=ms(300))
+            council = self.council
+            if council.view is None or council.ailing:
+                continue
+            if council.member():
+                self.needs_snapshot = True
+                continue
+            address = council.address(disk=council.view.chain[-1])
+            if address is None:
+                continue
+            try:
+                self._join_once(address=address)
+            except OSError:
+                continue
+
+    def _join_once(self, *, address: str) -> None:
+        ask = JoinAsk(disk=self.council.me, mark=self.synced, fresh=self.needs_snapshot)
+        reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
+        self.council.learn(view=reply.view)
+        if not reply.granted or self.council.member():
+            return
+        with self.extending:
+            if self.council.member():
+                return
+            if reply.snapshot is not None:
+                state = State(keep=self.vault.keep)
+                state.restore(fields=reply.snapshot)
+                self.vault.entries = []
+                self.vault.reset(state=state)
+                self.state = state.copy()
+                self._note_learned()
+                self.needs_snapshot = False
+                self.host.log(Note.JOINED, mark=state.mark)
+            fresh = [entry for entry in reply.entries if entry.mark > self.synced]
+            if fresh:
+                self._sync(entries=fresh)
+                for entry in fresh:
+                    self.state.fold(mark=entry.mark, change=entry.change)
+            self.planned = self.state.copy()
+
+    def on_join(self, *, ask: JoinAsk) -> JoinReply:
+        council = self.council
+        view = council.view
+        if not self.acting_tail():
+            return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
+        if ask.fresh or ask.mark < self.vault.base.mark:
+            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=self.state.snapshot())
+        missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
+        if len(missing) <= BATCH_MOST:
+            council.note_candidate(disk=ask.disk)
+        return JoinReply(granted=True, mark=self.state.mark, entries=missing[:JOIN_CHUNK])
--- /dev/null
+++ b/dockmux/pact/core.py
@@ -0,0 +1,291 @@
+"""One core machine's daemon: the council, the chain, the duties that go with the head, and HTTP."""
+
+import contextlib
+import dataclasses
+import json
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord import schemas
+from dockmux.accord.catalogue import Note
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host, within
+from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import instant_us, ms, to_ms
+from dockmux.accord.types import (
+    AcceptAsk,
+    Append,
+    ConfirmAsk,
+    FoundAsk,
+    GrantAsk,
+    JoinAsk,
+    NewsAsk,
+    NewsReply,
+    PeerCard,
+    PromiseAsk,
+    ViewNews,
+    WriteAsk,
+)  # fmt: skip
+from dockmux.accord.web import Visit, serve
+from dockmux.accord.wire import Caller, Desk
+from dockmux.pact.chain import Chain
+from dockmux.pact.council import Council
+from dockmux.pact.tree import explain, judge
+from dockmux.pact.vault import Vault
+from dockmux.rumour.spread import Spread
+from dockmux.tempo.gossip import Gossip
+from dockmux.tempo.peers import Peers
+
+JOIN_PATIENCE = timedelta(seconds=3)
+
+
+class Core:
+    """Invariant: this daemon is the source of time exactly while it is the head under permit."""
+
+    def __init__(self, *, host: Host, settings: Settings) -> None:
+        self.host = host
+        self.settings = settings
+        incarnation = f"{host.random.getrandbits(64):016x}"
+        card = PeerCard(
+            name=settings.name, role="core", site=settings.site, address=settings.address,
+            http=settings.http, incarnation=incarnation, ageMs=0,
+        )  # fmt: skip
+        self.peers = Peers(host=host, settings=settings, card=card)
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator["Core"]:
+        host, settings = self.host, self.settings
+        keep = timedelta(hours=settings.claimKeepHours)
+        self.vault = Vault(host=host, folder=host.folder, keep=keep)
+        self.vault.open()
+        self.peers.card = dataclasses.replace(self.peers.card, disk=self.vault.disk)
+        with (
+            host.datagrams(address=settings.address) as port,
+            host.listen(address=settings.address) as listener,
+            host.listen(address=settings.http) as web_listener,
+            Caller(host=host) as caller,
+            Crew(host=host) as crew,
+        ):
+            self.crew = crew
+            self.gossip = Gossip(host=host, settings=settings, peers=self.peers, port=port)
+            self.council = Council(
+                host=host, settings=settings, vault=self.vault, peers=self.peers, caller=caller, crew=crew
+            )
+            self.chain = Chain(
+                host=host, settings=settings, vault=self.vault, council=self.council,
+                gossip=self.gossip, caller=caller,
+            )  # fmt: skip
+            council, chain = self.council, self.chain
+            self.spread = Spread(host=host, settings=settings, gossip=self.gossip, crew=crew, follower=chain.state)
+            desk = Desk(
+                host=host,
+                listener=listener,
+                answers={
+                    FoundAsk: council.on_found,
+                    PromiseAsk: council.on_promise,
+                    AcceptAsk: council.on_accept,
+                    GrantAsk: council.on_grant,
+                    ViewNews: council.on_view_news,
+                    Append: chain.on_append,
+                    ConfirmAsk: chain.on_confirm,
+                    JoinAsk: chain.on_join,
+                    WriteAsk: chain.on_write,
+                    NewsAsk: self.on_news,
+                },
+            )
+            for task in (
+                desk.run, self.gossip.run_receiving, self.gossip.run_asking, council.run_grants,
+                council.run_mending, chain.run_head, chain.run_confirming, chain.run_joining, chain.run_upkeep,
+                self.spread.run, self.run_duties,
+            ):  # fmt: skip
+                crew.keep(task=task)
+            crew.start(task=council.run_found)
+            crew.keep(task=serve, listener=web_listener, site=self.site)
+            host.log(Note.STARTED, role="core", name=settings.name, address=settings.address)
+            yield self
+
+    def drain(self) -> int:
+        """A core holds no requests: it may stop at once."""
+        return 0
+
+    # Duties that go with the head, under its permit.
+
+    def run_duties(self) -> None:
+        waiting_since: timedelta | None = None
+        while True:
+            self.host.sleep(wait=ms(100))
+            clock = self.gossip.clock
+            if not (self.council.is_head() and self.council.under_permit()):
+                waiting_since = None
+                if clock.hops == 0:
+                    clock.follow()
+                    self.host.log(Note.SOURCE_LEFT)
+                continue
+            mark = self.council.view.number
+            if clock.hops == 0 and clock.source_mark == mark:
+                continue
+            waiting_since = self.host.elapsed() if waiting_since is None else waiting_since
+            waited = self.host.elapsed() - waiting_since
+            if not clock.synchronized and waited < JOIN_PATIENCE and clock.newest_mark > 0:
+                continue  # Somebody may still have the fleet's time.
+            clock.lead(mark=mark, not_before=self.chain.state.latest_time())
+            self.host.log(Note.SOURCE_TAKEN, mark=mark)
+
+    # News for data daemons.
+
+    def on_news(self, *, ask: NewsAsk) -> NewsReply:
+        self.chain.note_session(card=ask.sender)
+        if self.chain.state.news_mark <= ask.mark:
+            self._hold(holdMs=ask.holdMs)
+        return self._news(since=ask.mark)
+
+    def _hold(self, *, holdMs: int) -> None:
+        try:
+            with within(wait=min(ms(holdMs), timedelta(seconds=10))):
+                self.chain.news.wait()
+        except TimeoutError:
+            return
+
+    def _news(self, *, since: int) -> NewsReply:
+        state = self.chain.state
+        age = self.chain.age()
+        config = state.config
+        held = self.host.elapsed() - self.chain.learned[config.mark] if config else ms(0)
+        return NewsReply(
+            granted=age < self.council.permit,
+            mark=state.news_mark,
+            ageMs=min(to_ms(age), 86_400_000),
+            heldMs=held // ms(1),
+            news=state.news(since=since) if state.news_mark > since else None,
+        )
+
+    # HTTP for operators and the platform.
+
+    def site(self, visit: Visit) -> list[bytes]:
+        method, path = visit.method, visit.path
+        if path == "/config" and method == "PUT":
+            return visit.conclude(outcome=self._put_config(visit=visit))
+        if path == "/engines" and method == "PUT":
+            return visit.conclude(outcome=self._put_engines(visit=visit))
+        if path not in ("/config", "/engines", "/status", "/clock", "/history") and not path.startswith(
+            ("/config/", "/explain/")
+        ):
+            return visit.conclude(outcome=Outcome(kind=Kind.NOT_FOUND, detail={"path": path}))
+        if method != "GET":
+            return visit.conclude(outcome=Outcome(kind=Kind.BAD_METHOD, detail={"method": method}))
+        if path == "/clock":
+            return visit.reply(status=200, fields=self.gossip.report())
+        if path == "/status":
+            return visit.reply(status=200, fields=self.status())
+        age = self.chain.age()
+        if age >= self.council.permit:
+            why = {"why": "no tail under permit"}
+            return visit.conclude(outcome=Outcome(kind=Kind.NO_MAJORITY, detail=why))
+        return self._read(visit=visit)
+
+    def _read(self, *, visit: Visit) -> list[bytes]:
+        state, path = self.chain.state, visit.path
+        if path == "/engines":
+            return visit.reply(status=200, fields={"mark": state.engines_mark, "engines": state.engines})
+        if path == "/history":
+            rows = [
+                {"mark": c.mark, "activate": c.activate.isoformat(), "lanes": len(c.tree["lanes"])}
+                for c in state.configs
+            ]
+            return visit.reply(status=200, fields={"configs": rows})
+        if path == "/config" and state.config is None:
+            return visit.reply(status=200, fields={"mark": 0, "tree": None, "activate": None})
+        if path.startswith("/explain/"):
+            site = visit.environ.get("QUERY_STRING", "").removeprefix("site=")
+            told = explain(tree=state.config.tree, lane=path[9:], site=site) if state.config else None
+            if told is None:
+                return visit.conclude(outcome=Outcome(kind=Kind.UNKNOWN_LANE, detail={"lane": path[9:]}))
+            return visit.reply(status=200, fields={"mark": state.config.mark, "lane": path[9:], "values": told})
+        wanted = path[8:] or str(state.config.mark)
+        for config in state.configs:
+            if str(config.mark) == wanted:
+                fields = {"mark": config.mark, "tree": config.tree, "activate": config.activate.isoformat()}
+                return visit.reply(status=200, fields=fields, headers=[("ETag", f'"{config.mark}"')])
+        return visit.conclude(outcome=Outcome(kind=Kind.NOT_FOUND, detail={"mark": wanted}))
+
+    def _body(self, *, visit: Visit) -> Any:
+        if visit.content_type != "application/json":
+            return Outcome(kind=Kind.BAD_TYPE, detail={"found": visit.content_type, "allowed": "application/json"})
+        data = visit.body(limitBytes=self.settings.bodyLimitKb * 1024)
+        if data is None:
+            return Outcome(kind=Kind.TOO_LARGE, detail={"limitKb": self.settings.bodyLimitKb})
+        try:
+            return json.loads(data)
+        except ValueError as error:
+            return Outcome(kind=Kind.BAD_JSON, detail={"why": str(error)})
+
+    def _based_on(self, *, visit: Visit) -> int | None:
+        text = visit.header(name="If-Match").strip().strip('"')
+        return int(text) if text.isdigit() else None
+
+    def _put_config(self, *, visit: Visit) -> Outcome:
+        tree = self._body(visit=visit)
+        if isinstance(tree, Outcome):
+            return tree
+        if not visit.header(name="If-Match"):
+            return Outcome(kind=Kind.MARK_MISSING, detail={"why": "send If-Match with the mark you started from"})
+        wrong = judge(tree=tree)
+        if wrong:
+            return Outcome(kind=Kind.INVALID, detail={"errors": wrong})
+        based_on = self._based_on(visit=visit)
+        return self.chain.write(change={"kind": "config", "tree": tree, "based_on": based_on})
+
+    def _put_engines(self, *, visit: Visit) -> Outcome:
+        listed = self._body(visit=visit)
+        if isinstance(listed, Outcome):
+            return listed
+        wrong = schemas.errors(name="engines", value=listed)
+        if not wrong:
+            names = [engine["engine"] for engine in listed["engines"]]
+            wrong = [
+                {"path": f"$.engines[{place}].engine", "error": f"{name!r} is listed twice"}
+                for place, name in enumerate(names)
+                if name in names[:place]
+            ]
+        if wrong:
+            return Outcome(kind=Kind.INVALID, detail={"errors": wrong})
+        change = {"kind": "engines", "engines": listed["engines"]}
+        if visit.header(name="If-Match"):
+            change["based_on"] = self._based_on(visit=visit)
+        return self.chain.write(change=change)
+
+    def status(self) -> dict[str, Any]:
+        council, chain = self.council, self.chain
+        view = council.view
+        names = {card.disk: card.name for card in council.cores()} | {council.me: self.settings.name}
+        config = chain.state.config
+        return {
+            "name": self.settings.name,
+            "disk": council.me,
+            "view": view.number if view else None,
+            "chain": [names.get(disk, disk) for disk in view.chain] if view else [],
+            "voters": [names.get(disk, disk) for disk in view.voters] if view else [],
+            "permit": council.under_permit(),
+            "ailing": council.ailing,
+            "mark": chain.state.mark,
+            "synced": chain.synced,
+            "ageMs": min(to_ms(chain.age()), 86_400_000),
+            "config": config.mark if config else 0,
+            "config_active": bool(config and config.activate <= self.gossip.clock.now()),
+            "engines": len(chain.state.engines),
+            "claims": len(chain.state.claims),
+            "members": [
+                {
+                    "name": card.name,
+                    "role": card.role,
+                    "site": card.site,
+                    "http": card.http,
+                    "ageMs": card.ageMs,
+                }
+                for card in chain.own_sessions()
+            ],
+            "tasks_failed": self.crew.failed,
+            "timeUs": instant_us(self.gossip.clock.now()),
+        }
--- /dev/null
+++ b/dockmux/pact/council.py
@@ -0,0 +1,388 @@
+"""The agreed view: founding, one agreement per view number, and the permits that a majority grants."""
+
+from datetime import timedelta
+from typing import Any
+
+from eventlet.semaphore import Semaphore
+
+from dockmux.accord import codec
+from dockmux.accord.catalogue import Note
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host, within
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import ZERO, ms, to_ms
+from dockmux.accord.types import (
+    AcceptAsk,
+    FoundAsk,
+    GrantAsk,
+    PeerCard,
+    PromiseAsk,
+    View,
+    ViewNews,
+    VoteReply,
+)  # fmt: skip
+from dockmux.accord.wire import Caller
+from dockmux.pact.vault import Vault
+from dockmux.tempo.peers import Peers
+
+DRIFT_MARGIN = 1.02
+
+
+class Council:
+    """One core's part in agreeing on the view.
+
+    Invariants:
+    - a voter of view n that has accepted a view n+1 grants no permit under n any more;
+    - a permit counts from before it was asked for, on this host's monotonic clock, and needs a majority
+      of the view's voters;
+    - nobody acts under a view before every permit under the one before it must have ended (`acts_from`);
+    - a core votes only under a view that names its disk as a voter;
+    - `extending` is held while entries are added to the chain, and no view is taken over meanwhile.
+    """
+
+    def __init__(
+        self, *, host: Host, settings: Settings, vault: Vault, peers: Peers, caller: Caller, crew: Crew
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.vault = vault
+        self.peers = peers
+        self.caller = caller
+        self.crew = crew
+        self.permit = ms(settings.permitMs)
+        self.suspect = ms(settings.suspectMs)
+        self.grants: dict[str, timedelta] = {}
+        self.heard: dict[str, timedelta] = {}
+        self.asking: set[str] = set()
+        self.adopted_at = host.elapsed()
+        self.acts_from = host.elapsed() + self.permit * DRIFT_MARGIN
+        self.voting = Semaphore(1)
+        self.extending = Semaphore(1)
+        self.ballot = 0
+        self.ailing = False
+        self.candidates: dict[str, timedelta] = {}
+        self.refused_until: dict[str, timedelta] = {}
+
+    @property
+    def view(self) -> View | None:
+        return self.vault.view
+
+    @property
+    def me(self) -> str:
+        return self.vault.disk
+
+    def member(self) -> bool:
+        return self.view is not None and self.me in self.view.chain
+
+    def is_head(self) -> bool:
+        return self.member() and self.view.chain[0] == self.me
+
+    def is_tail(self) -> bool:
+        return self.member() and self.view.chain[-1] == self.me
+
+    def cores(self) -> list[PeerCard]:
+        return [card for card in self.peers.live() if card.role == "core"]
+
+    def address(self, *, disk: str) -> str | None:
+        for card in self.cores():
+            if card.disk == disk:
+                return card.address
+        return None
+
+    # Permits.
+
+    def permitted_until(self) -> timedelta:
+        """When this member's permit ends; zero without one."""
+        if not self.member():
+            return ZERO
+        asked = sorted((self.grants.get(voter, ZERO) for voter in self.view.voters), reverse=True)
+        needed = len(self.view.voters) // 2
+        return asked[needed] + self.permit if asked[needed] else ZERO
+
+    def under_permit(self) -> bool:
+        now = self.host.elapsed()
+        return self.acts_from <= now < self.permitted_until()
+
+    def run_grants(self) -> None:
+        """Every member asks every voter anew, four times a permit."""
+        while True:
+            if self.member() and not self.ailing:
+                for voter in self.view.voters:
+                    if voter not in self.asking:
+                        self.asking.add(voter)
+                        self.crew.start(task=self._ask_grant, voter=voter, number=self.view.number)
+            elif self.view is not None and self.me in self.view.voters:
+                for voter in self.view.voters:
+                    if voter not in self.asking:
+                        self.asking.add(voter)
+                        self.crew.start(task=self._ask_grant, voter=voter, number=0)
+            self.host.sleep(wait=self.permit / 4)
+
+    def _ask_grant(self, *, voter: str, number: int) -> None:
+        try:
+            sent = self.host.elapsed()
+            ask = GrantAsk(number=number, disk=self.me)
+            if voter == self.me:
+                reply = self.on_grant(ask=ask)
+            else:
+                address = self.address(disk=voter)
+                if address is None:
+                    return
+                reply = self.caller.call(address=address, ask=ask, wait=self.permit / 2)
+            if reply.disk != voter:
+                return
+            self.heard[voter] = self.host.elapsed()
+            if reply.granted and self.view.number == number:
+                self.grants[voter] = max(sent, self.grants.get(voter, ZERO))
+            self.learn(view=reply.view)
+        except OSError:
+            return
+        finally:
+            self.asking.discard(voter)
+
+    def on_grant(self, *, ask: GrantAsk) -> VoteReply:
+        self.heard[ask.disk] = self.host.elapsed()
+        view = self.view
+        granted = (
+            view is not None
+            and view.number == ask.number
+            and self.me in view.voters
+            and ask.disk in view.chain
+            and not (self.vault.accepted and self.vault.accepted["number"] > view.number)
+        )
+        behind = view is not None and view.number > ask.number
+        return VoteReply(granted=granted, disk=self.me, view=view if behind else None)
+
+    # Taking over a view that was decided.
+
+    def learn(self, *, view: View | None) -> None:
+        if view is None or (self.view is not None and view.number <= self.view.number):
+            return
+        with self.extending, self.voting:
+            if self.view is not None and view.number <= self.view.number:
+                return
+            self.vault.vote(view=view)
+            self.grants.clear()
+            self.candidates.clear()
+            self.adopted_at = self.host.elapsed()
+            self.acts_from = self.adopted_at + self.permit * DRIFT_MARGIN
+        self.host.log(Note.VIEW_ADOPTED, number=view.number, chain=",".join(view.chain), voters=",".join(view.voters))
+
+    def on_view_news(self, *, ask: ViewNews) -> VoteReply:
+        self.learn(view=ask.view)
+        return VoteReply(granted=True, disk=self.me, view=self.view)
+
+    def _spread(self, *, view: View) -> None:
+        for card in self.cores():
+            self.crew.start(task=self._tell, address=card.address, view=view)
+
+    def _tell(self, *, address: str, view: View) -> None:
+        try:
+            reply = self.caller.call(address=address, ask=ViewNews(view=view), wait=self.permit)
+            self.learn(view=reply.view)
+        except OSError:
+            return
+
+    # Voting. Promises and acceptances are synced before they are told.
+
+    def on_promise(self, *, ask: PromiseAsk) -> VoteReply:
+        with self.voting:
+            if self.view is None or self.me not in self.view.voters or self.view.number != ask.number - 1:
+                return VoteReply(granted=False, disk=self.me, view=self.view)
+            promised = self._promised(number=ask.number)
+            if (ask.ballot, ask.proposer) <= promised:
+                return VoteReply(granted=False, disk=self.me, ballot=promised[0])
+            self.vault.vote(promised=codec.to_fields(message=ask))
+            accepted = self.vault.accepted
+            if accepted is None or accepted["number"] != ask.number:
+                return VoteReply(granted=True, disk=self.me)
+            return VoteReply(
+                granted=True,
+                disk=self.me,
+                accepted_ballot=accepted["ballot"],
+                accepted_proposer=accepted["proposer"],
+                accepted=codec.from_fields(kind=View, fields=accepted["view"]),
+            )
+
+    def _promised(self, *, number: int) -> tuple[int, str]:
+        promised = self.vault.promised
+        if promised["number"] != number:
+            return (0, "")
+        return (promised["ballot"], promised["proposer"])
+
+    def on_accept(self, *, ask: AcceptAsk) -> VoteReply:
+        number = ask.view.number
+        with self.voting:
+            if self.view is None or self.me not in self.view.voters or self.view.number != number - 1:
+                return VoteReply(granted=False, disk=self.me, view=self.view)
+            if (ask.ballot, ask.proposer) < self._promised(number=number):
+                return VoteReply(granted=False, disk=self.me, ballot=self._promised(number=number)[0])
+            self.vault.vote(
+                promised={"number": number, "ballot": ask.ballot, "proposer": ask.proposer},
+                accepted={
+                    "number": number,
+                    "ballot": ask.ballot,
+                    "proposer": ask.proposer,
+                    "view": codec.to_fields(message=ask.view),
+                },
+            )
+            return VoteReply(granted=True, disk=self.me)
+
+    def _ask_voters(self, *, ask: Any, voters: list[str], answer: Any) -> list[VoteReply]:
+        """Asks all voters at once; gives the replies that came in time."""
+        replies: list[VoteReply] = []
+        tasks = [
+            self.crew.start(task=self._ask_voter, ask=ask, voter=voter, answer=answer, replies=replies)
+            for voter in voters
+        ]
+        try:
+            with within(wait=self.permit):
+                for task in tasks:
+                    task.wait()
+        except TimeoutError:
+            return list(replies)
+        return replies
+
+    def _ask_voter(self, *, ask: Any, voter: str, answer: Any, replies: list[VoteReply]) -> None:
+        try:
+            if voter == self.me:
+                replies.append(answer(ask=ask))
+                return
+            address = self.address(disk=voter)
+            if address is not None:
+                reply = self.caller.call(address=address, ask=ask, wait=self.permit)
+                if reply.disk == voter:
+                    replies.append(reply)
+        except OSError:
+            return
+
+    def propose(self, *, chain: list[str], voters: list[str]) -> bool:
+        """Tries to have the next view agreed on; what was accepted before goes first."""
+        old = self.view
+        wanted = View(number=old.number + 1, chain=chain, voters=voters)
+        self.host.log(Note.VIEW_PROPOSED, number=wanted.number, chain=",".join(chain), voters=",".join(voters))
+        self.ballot += 1
+        majority = len(old.voters) // 2 + 1
+        ask = PromiseAsk(number=wanted.number, ballot=self.ballot, proposer=self.me)
+        promises = self._ask_voters(ask=ask, voters=old.voters, answer=self.on_promise)
+        self._heed(replies=promises)
+        granted = [reply for reply in promises if reply.granted]
+        if len(granted) < majority or self.view is not old:
+            return False
+        earlier = [reply for reply in granted if reply.accepted is not None]
+        if earlier:
+            wanted = max(earlier, key=lambda reply: (reply.accepted_ballot, reply.accepted_proposer)).accepted
+        accept = AcceptAsk(ballot=self.ballot, proposer=self.me, view=wanted)
+        accepts = self._ask_voters(ask=accept, voters=old.voters, answer=self.on_accept)
+        self._heed(replies=accepts)
+        if sum(reply.granted for reply in accepts) < majority:
+            return False
+        self._spread(view=wanted)
+        self.learn(view=wanted)
+        return True
+
+    def _heed(self, *, replies: list[VoteReply]) -> None:
+        for reply in replies:
+            self.ballot = max(self.ballot, reply.ballot)
+            self.learn(view=reply.view)
+
+    # Founding: all cores that are to begin, each blank, each naming the same set.
+
+    def run_found(self) -> None:
+        while self.view is None:
+            self.host.sleep(wait=ms(300) + ms(self.host.random.randrange(200)))
+            found = self._known_founders()
+            if self.vault.founding is not None:
+                self._found(view=self.vault.founding)
+            elif len(found) == self.settings.cores and found[0] == self.me:
+                self._found(view=View(number=1, chain=found, voters=found))
+            elif found and found[0] != self.me:
+                self._ask_for_view()
+
+    def _known_founders(self) -> list[str]:
+        return sorted({card.disk for card in self.cores() if card.disk} | {self.me})
+
+    def _found(self, *, view: View) -> None:
+        replies = self._ask_voters(ask=FoundAsk(view=view), voters=view.voters, answer=self.on_found)
+        self._heed(replies=replies)
+        if sum(reply.granted for reply in replies) == len(view.voters) and self.view is None:
+            self.host.log(Note.FOUNDED, voters=",".join(view.voters))
+            self.learn(view=view)
+            self._spread(view=view)
+
+    def on_found(self, *, ask: FoundAsk) -> VoteReply:
+        with self.voting:
+            if self.view is not None:
+                return VoteReply(granted=False, disk=self.me, view=self.view)
+            if self.vault.founding is not None:
+                return VoteReply(granted=self.vault.founding == ask.view, disk=self.me)
+            if ask.view.voters != self._known_founders() or len(ask.view.voters) != self.settings.cores:
+                return VoteReply(granted=False, disk=self.me)
+            self.vault.vote(founding=ask.view)
+            return VoteReply(granted=True, disk=self.me)
+
+    def _ask_for_view(self) -> None:
+        for card in self.cores():
+            try:
+                ask = GrantAsk(number=0, disk=self.me)
+                reply = self.caller.call(address=card.address, ask=ask, wait=self.permit)
+                self.learn(view=reply.view)
+            except OSError:
+                continue
+
+    # Mending: leave out who is silent, take in who has caught up.
+
+    def silent(self, *, disk: str) -> timedelta:
+        since = max(self.heard.get(disk, ZERO), self.adopted_at)
+        return ZERO if disk == self.me else self.host.elapsed() - since
+
+    def run_mending(self) -> None:
+        while True:
+            self.host.sleep(wait=ms(200) + ms(self.host.random.randrange(200)))
+            view = self.view
+            if view is None or self.me not in view.voters:
+                continue
+            silent = {disk: self.silent(disk=disk) for disk in {*view.chain, *view.voters}}
+            live = [disk for disk in view.voters if silent[disk] <= self.suspect]
+            if self.me not in live or len(live) <= len(view.voters) // 2:
+                continue
+            # The first live voter proposes; the others only when it has let time pass.
+            patience = self.suspect + self.permit * live.index(self.me)
+            dead = [disk for disk in view.chain if silent[disk] > patience]
+            if self.ailing and self.me in view.chain:
+                dead.append(self.me)
+            chain = [disk for disk in view.chain if disk not in dead]
+            joiner = self._joiner(view=view)
+            if joiner is not None:
+                chain.append(joiner)
+            stalled = self.vault.accepted and self.vault.accepted["number"] > view.number
+            if not chain or not (dead or joiner or stalled):
+                continue
+            if stalled and not (dead or joiner) and self.host.elapsed() - self.adopted_at < patience:
+                continue
+            for disk in dead:
+                self.host.log(Note.SUSPECTED, disk=disk, silentMs=to_ms(silent[disk]))
+            voters = self._voters(view=view, joiner=joiner, silent=silent)
+            if voters is not None and not self.propose(chain=chain, voters=voters):
+                self.host.sleep(wait=ms(self.host.random.randrange(50, 400)))
+
+    def _joiner(self, *, view: View) -> str | None:
+        now = self.host.elapsed()
+        for disk in sorted(self.candidates):
+            if now - self.candidates[disk] < self.suspect and disk not in view.chain:
+                return disk
+        return None
+
+    def _voters(self, *, view: View, joiner: str | None, silent: dict[str, timedelta]) -> list[str] | None:
+        """The voters stay, but one who takes a seat in the chain takes the seat of the most silent."""
+        if joiner is None or joiner in view.voters:
+            return view.voters
+        if len(view.voters) < self.settings.cores:
+            return [*view.voters, joiner]
+        worst = max(view.voters, key=lambda disk: (disk not in view.chain, silent[disk]))
+        if worst in view.chain or silent[worst] <= self.suspect:
+            return None
+        return [joiner if disk == worst else disk for disk in view.voters]
+
+    def note_candidate(self, *, disk: str) -> None:
+        self.candidates[disk] = self.host.elapsed()
--- /dev/null
+++ b/dockmux/pact/program.py
@@ -0,0 +1,23 @@
+"""The control daemon's program."""
+
+import argparse
+import sys
+
+from dockmux.accord.daemon import run
+from dockmux.accord.host import Host
+from dockmux.accord.settings import read_or_exit
+from dockmux.pact.core import Core
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="pact", description="Control daemon of dockmux, on a core machine.")
+    settings = read_or_exit(parser=parser, argv=argv)
+    if not settings.data_folder:
+        print("pact: bad setting data_folder: found nothing, allowed: a folder", file=sys.stderr)
+        return 2
+    host = Host(name=settings.name, folder=settings.data_folder)
+    return run(host=host, settings=settings, running=Core(host=host, settings=settings).running())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dockmux/pact/vault.py
@@ -0,0 +1,97 @@
+"""What one core keeps on its disk: its identity and votes, and the chain's entries."""
+
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord import codec
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Folder, Host
+from dockmux.accord.ledger import Ledger
+from dockmux.accord.types import Entry, View
+from dockmux.pact.state import State
+
+REWRITE_FROM_BYTES = 4 * 1024 * 1024
+
+
+class Vault:
+    """Invariants:
+    - `disk` names this disk; another disk, or an emptied one, has another name, for a vote or a copy that
+      was lost with a disk must not be counted again;
+    - `promised`, `accepted` and `founding` are synced before anyone is told of them;
+    - `entries` are the synced ones after `base`, without a gap.
+    """
+
+    def __init__(self, *, host: Host, folder: Folder, keep: timedelta) -> None:
+        self.host = host
+        self.votes = Ledger(host=host, folder=folder, name="votes")
+        self.chain = Ledger(host=host, folder=folder, name="chain")
+        self.keep = keep
+        self.disk = ""
+        self.view: View | None = None
+        self.founding: View | None = None
+        self.promised: dict[str, Any] = {"number": 0, "ballot": 0, "proposer": ""}
+        self.accepted: dict[str, Any] | None = None
+        self.base = State(keep=keep)
+        self.entries: list[Entry] = []
+
+    def open(self) -> None:
+        votes = self.votes.load()
+        if votes is None or not votes:
+            self.disk = f"{self.host.random.getrandbits(64):016x}"
+            self.host.log(Note.DISK_FRESH, disk=self.disk)
+            self.chain.rewrite(records=[{"snapshot": self.base.snapshot()}])
+            self.votes.rewrite(records=[{"disk": self.disk}])
+            return
+        for record in votes:
+            self._recall(record=record)
+        for record in self.chain.load() or []:
+            if "snapshot" in record:
+                self.base.restore(fields=record["snapshot"])
+                self.entries = []
+            else:
+                self.entries.append(Entry(mark=record["mark"], change=record["change"]))
+
+    def _recall(self, *, record: dict[str, Any]) -> None:
+        if "disk" in record:
+            self.disk = record["disk"]
+        if "view" in record:
+            self.view = codec.from_fields(kind=View, fields=record["view"])
+        if "founding" in record:
+            self.founding = codec.from_fields(kind=View, fields=record["founding"])
+        if "promised" in record:
+            self.promised = record["promised"]
+        if "accepted" in record:
+            self.accepted = record["accepted"]
+
+    def vote(self, **fields: Any) -> None:
+        """Syncs a change of the voting state, then takes it in."""
+        record = {k: codec.to_fields(message=v) if isinstance(v, View) else v for k, v in fields.items()}
+        self.votes.append(records=[record])
+        self._recall(record=record)
+        if self.votes.sizeBytes > max(REWRITE_FROM_BYTES // 16, 4 * self.votes.rewrittenBytes):
+            self._rewrite_votes()
+
+    def _rewrite_votes(self) -> None:
+        record: dict[str, Any] = {"disk": self.disk, "promised": self.promised}
+        if self.accepted is not None:
+            record["accepted"] = self.accepted
+        for key, view in (("view", self.view), ("founding", self.founding)):
+            if view is not None:
+                record[key] = codec.to_fields(message=view)
+        self.votes.rewrite(records=[record])
+
+    def append(self, *, entries: list[Entry]) -> None:
+        self.chain.append(records=[codec.to_fields(message=entry) for entry in entries])
+        self.entries.extend(entries)
+
+    def shorten(self, *, state: State) -> None:
+        """Rewrites the chain's file, when it has grown long, from the state that all agree on."""
+        if self.chain.sizeBytes > max(REWRITE_FROM_BYTES, 2 * self.chain.rewrittenBytes):
+            self.reset(state=state)
+
+    def reset(self, *, state: State) -> None:
+        """The file becomes a snapshot of this state and the synced entries after it."""
+        base = state.copy()
+        rest = [entry for entry in self.entries if entry.mark > base.mark]
+        self.chain.rewrite(records=[{"snapshot": base.snapshot()}, *(codec.to_fields(message=entry) for entry in rest)])
+        self.base, self.entries = base, rest
--- /dev/null
+++ b/dockmux/rumour/__init__.py
@@ -0,0 +1,1 @@
+"""Usage summaries of the engines, spread among the daemons."""
--- /dev/null
+++ b/dockmux/rumour/spread.py
@@ -0,0 +1,95 @@
+"""Spreads what a daemon knows of the engines, and who is alive, in small datagrams; a data daemon also
+looks at the engines that it watches."""
+
+import dataclasses
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host, within
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import ZERO, ms
+from dockmux.accord.types import EngineUsage, UsageSummary
+from dockmux.rumour.usage import UsageTable, watchers
+from dockmux.tempo.gossip import Gossip
+
+LOOK_LIMIT = timedelta(milliseconds=600)
+SPREAD_TO = 3
+
+
+class Spread:
+    """Invariants: an engine has at most one look under way; without `links` this daemon watches none."""
+
+    def __init__(
+        self, *, host: Host, settings: Settings, gossip: Gossip, crew: Crew, follower: Any, links: Any = None
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.gossip = gossip
+        self.crew = crew
+        self.links = links
+        self.follower = follower
+        self.table = UsageTable(host=host)
+        self.looking: set[str] = set()
+        self.states: dict[str, str] = {}
+
+    def run(self) -> None:
+        while True:
+            summaries, self.gossip.summaries[:] = list(self.gossip.summaries), []
+            for summary in summaries:
+                self.table.fold(summary=summary)
+            if self.links is not None:
+                self._look()
+                self._note_changes()
+            self._tell()
+            self.host.sleep(wait=ms(self.settings.rumourMs))
+
+    def _look(self) -> None:
+        peers = self.gossip.peers
+        daemons = [card.name for card in peers.live() if card.role == "edge"] + [peers.card.name]
+        for engine in self.follower.engines:
+            name = engine["engine"]
+            if peers.card.name in watchers(engine=name, daemons=sorted(daemons)) and name not in self.looking:
+                self.looking.add(name)
+                self.crew.start(task=self._look_at, engine=engine)
+
+    def _look_at(self, *, engine: dict[str, Any]) -> None:
+        before = self.host.elapsed()
+        name = engine["engine"]
+        try:
+            with within(wait=LOOK_LIMIT):
+                told = self.links.status(engine=engine)
+            usage = EngineUsage(
+                engine=name, incarnation=told["incarnation"], phase=told["phase"], running=told["running"],
+                queued=told["queued"], leaving=bool(told["leaving"] or engine.get("leaving")),
+                reachable=True, capacity=told["capacity"], ageMs=0,
+            )  # fmt: skip
+        except (OSError, KeyError, TypeError, ValueError):
+            usage = EngineUsage(
+                engine=name, incarnation="", phase="", running=0, queued=0, leaving=False, reachable=False,
+                capacity=0, ageMs=0,
+            )  # fmt: skip
+        finally:
+            self.looking.discard(name)
+        # The look is as old as its asking.
+        aged = max(self.host.elapsed() - before, ZERO)
+        self.table.take(usage=dataclasses.replace(usage, ageMs=-(-aged // ms(1))))
+
+    def _tell(self) -> None:
+        peers = self.gossip.peers
+        live = peers.live()
+        summary = UsageSummary(sender=peers.card, engines=self.table.summary(), peers=peers.few()[:3])
+        targets = [card.address for card in live] or peers.contacts()
+        for address in self.host.random.sample(targets, min(SPREAD_TO, len(targets))):
+            self.gossip.send(address=address, message=summary)
+
+    def _note_changes(self) -> None:
+        for engine in self.follower.engines:
+            usage = self.table.fresh(engine=engine["engine"])
+            state = "not seen"
+            if usage is not None:
+                state = "leaving" if usage.leaving else usage.phase if usage.reachable else "dark"
+            if self.states.get(engine["engine"]) != state:
+                self.states[engine["engine"]] = state
+                self.host.log(Note.ENGINE_CHANGED, engine=engine["engine"], state=state)
--- /dev/null
+++ b/dockmux/surge/__init__.py
@@ -0,0 +1,1 @@
+"""The load generator."""
--- /dev/null
+++ b/dockmux/tempo/__init__.py
@@ -0,0 +1,1 @@
+"""The gossiped clock and the list of live peers."""
--- /dev/null
+++ b/dockmux/tempo/gossip.py
@@ -0,0 +1,157 @@
+"""The timestamp exchanges of one daemon, over UDP; the socket is shared with rumour."""
+
+import dataclasses
+from datetime import datetime, timedelta
+from typing import Any
+
+from dockmux.accord import codec
+from dockmux.accord.catalogue import Note
+from dockmux.accord.frames import FrameError, pack, unpack
+from dockmux.accord.host import Host
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import UNBOUNDED, ZERO, from_instant_us, instant_us, ms, to_ms, to_us, us
+from dockmux.accord.types import ClockAsk, ClockReply, PeerCard, UsageSummary
+from dockmux.tempo.clock import Clock, Sample
+from dockmux.tempo.peers import Peers
+from dockmux.tempo.rate import ONE_CYCLE, Rate
+
+REPLY_LIMIT = timedelta(seconds=1)
+PULSE = timedelta(milliseconds=100)
+FROZEN = timedelta(seconds=1)
+
+
+class Gossip:
+    """Invariants: `asked` holds the exchanges still open, by nonce: T1, the monotonic time, the address;
+    an answer is used once."""
+
+    def __init__(self, *, host: Host, settings: Settings, peers: Peers, port: Any) -> None:
+        self.host = host
+        self.settings = settings
+        self.peers = peers
+        self.port = port
+        self.clock = Clock(host=host, settings=settings)
+        self.rate = Rate(settings=settings)
+        self.asked: dict[str, tuple[datetime, timedelta, str]] = {}
+        self.summaries: list[UsageSummary] = []
+
+    def ready(self) -> bool:
+        """Whether the time may be used for new work."""
+        return self.clock.bound() <= ms(self.settings.boundLimitMs)
+
+    def run_asking(self) -> None:
+        """One exchange, then the wait that the rate gives, for ever. The wait is looked at again every
+        pulse, so that a freeze or a first sample changes it at once."""
+        last: timedelta | None = None
+        while True:
+            now = self.host.elapsed()
+            if last is None or now - last >= self._wait():
+                last = now
+                self._ask()
+            self.host.sleep(wait=min(PULSE, self._wait()))
+            gap = self.host.elapsed() - now
+            if gap > FROZEN:
+                self.host.log(Note.CLOCK_FROZE, gapMs=to_ms(gap))
+                self.asked.clear()
+                self.clock.distrust()
+
+    def _wait(self) -> timedelta:
+        if self.clock.hops == 0 or self.clock.synchronized:
+            return self.rate.wait
+        return ONE_CYCLE * (1000 / self.settings.joinMilliHz)
+
+    def _ask(self) -> None:
+        now = self.host.elapsed()
+        self.asked = {n: a for n, a in self.asked.items() if now - a[1] < REPLY_LIMIT}
+        contacts = self.peers.contacts()
+        if not contacts:
+            return
+        address = self.host.random.choice(contacts)
+        nonce = f"{self.host.random.getrandbits(64):016x}"
+        ask = ClockAsk(nonce=nonce, sender=self.peers.me())
+        self.asked[nonce] = (self.clock.now(), now, address)
+        self.send(address=address, message=ask)
+
+    def send(self, *, address: str, message: Any) -> None:
+        self.port.send(address=address, data=pack(data=codec.encode(message=message)))
+
+    def run_receiving(self) -> None:
+        while True:
+            data, address = self.port.receive()
+            arrived = self.clock.now()
+            try:
+                message = codec.decode(data=unpack(datagram=data))
+            except (codec.Malformed, FrameError) as error:
+                self.host.log(Note.BAD_FRAME, error=error)
+                continue
+            if isinstance(message, ClockAsk):
+                self._answer(ask=message, address=address, arrived=arrived)
+            elif isinstance(message, ClockReply):
+                self._take(reply=message, address=address, arrived=arrived)
+            elif isinstance(message, UsageSummary):
+                self.summaries.append(message)
+            self._hear(sender=message.sender, address=address, peers=getattr(message, "peers", []))
+
+    def _hear(self, *, sender: PeerCard, address: str, peers: list[PeerCard]) -> None:
+        if sender.address == address:
+            self.peers.hear(card=dataclasses.replace(sender, ageMs=0))
+        for card in peers:
+            self.peers.hear(card=card)
+
+    def _answer(self, *, ask: ClockAsk, address: str, arrived: datetime) -> None:
+        clock = self.clock
+        known = clock.synchronized
+        reply = ClockReply(
+            nonce=ask.nonce,
+            sender=self.peers.me(),
+            receivedUs=instant_us(arrived),
+            sentUs=instant_us(clock.now()),
+            dispersionUs=to_us(clock.own_dispersion() if known else UNBOUNDED),
+            precisionUs=to_us(clock.precision),
+            correctionUs=to_us(clock.correction),
+            sinceUpdateUs=to_us(clock.since_update() if known else ZERO),
+            tolerancePpm=clock.tolerancePpm,
+            hops=clock.hops,
+            source_mark=clock.source_mark,
+            peers=self.peers.few(),
+        )
+        self.send(address=address, message=reply)
+
+    def _take(self, *, reply: ClockReply, address: str, arrived: datetime) -> None:
+        t1, sent, asked = self.asked.pop(reply.nonce, (arrived, ZERO, ""))
+        if asked != address or self.host.elapsed() - sent > REPLY_LIMIT:
+            return
+        sample = Sample(
+            t1=t1,
+            t2=from_instant_us(reply.receivedUs),
+            t3=from_instant_us(reply.sentUs),
+            t4=arrived,
+            dispersion=us(reply.dispersionUs),
+            precision=us(reply.precisionUs),
+            correction=us(reply.correctionUs),
+            since_update=us(reply.sinceUpdateUs),
+            tolerancePpm=reply.tolerancePpm,
+            hops=reply.hops,
+            source_mark=reply.source_mark,
+        )
+        joining = not self.clock.synchronized
+        used = self.clock.consider(sample=sample)
+        if joining and used:
+            self.host.log(Note.CLOCK_JOINED, peer=reply.sender.name, boundMs=to_ms(self.clock.bound()))
+        elif not joining:
+            self.rate.note(offset=sample.offset, used=used)
+
+    def report(self) -> dict[str, Any]:
+        """What `edict clock` shows."""
+        clock = self.clock
+        return {
+            "name": self.peers.me().name,
+            "synchronized": clock.synchronized,
+            "time": clock.now().isoformat(),
+            "boundMs": to_ms(clock.bound()) if clock.synchronized else None,
+            "correctionUs": to_us(clock.correction),
+            "hops": clock.hops if clock.synchronized else None,
+            "source_mark": clock.source_mark,
+            "rateMilliHz": round(self.rate.milliHz, 3),
+            "offsetUs": to_us(clock.now() - self.host.wall()),
+            "peers": [card.name for card in self.peers.live()],
+        }
--- /dev/null
+++ b/dockmux/tempo/peers.py
@@ -0,0 +1,82 @@
+"""The list of live peers that a daemon makes for itself from seeds and replies."""
+
+import dataclasses
+from datetime import timedelta
+
+from dockmux.accord.host import Host
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import ms, to_ms
+from dockmux.accord.types import PeerCard
+
+SHARE_COUNT = 6
+
+
+class Peers:
+    """Invariants: a card is keyed by its address; `heard` is when its daemon last gave a sign of life, as
+    this host's clock counts, and a card is never made younger by being passed on; this daemon itself is not
+    in the table."""
+
+    def __init__(self, *, host: Host, settings: Settings, card: PeerCard) -> None:
+        self.host = host
+        self.settings = settings
+        self.card = card
+        self.cards: dict[str, PeerCard] = {}
+        self.heard: dict[str, timedelta] = {}
+
+    def me(self) -> PeerCard:
+        return self.card
+
+    def hear(self, *, card: PeerCard) -> None:
+        """Takes a card in, unless what is known is fresher."""
+        if card.address == self.card.address:
+            return
+        heard = self.host.elapsed() - ms(card.ageMs)
+        known = self.heard.get(card.address)
+        if heard <= self.host.elapsed() - ms(self.settings.peerSilenceMs):
+            return
+        if known is None or heard > known:
+            self.cards[card.address] = card
+            self.heard[card.address] = heard
+
+    def live(self) -> list[PeerCard]:
+        """The cards of peers that have not been silent, in a stable order."""
+        limit = self.host.elapsed() - ms(self.settings.peerSilenceMs)
+        for address in [a for a, heard in self.heard.items() if heard < limit]:
+            del self.heard[address], self.cards[address]
+        now = self.host.elapsed()
+        return [dataclasses.replace(self.cards[a], ageMs=to_ms(now - self.heard[a])) for a in sorted(self.cards)]
+
+    def few(self) -> list[PeerCard]:
+        live = self.live()
+        return self.host.random.sample(live, min(SHARE_COUNT, len(live)))
+
+    def contacts(self) -> list[str]:
+        """Where to turn: live peers, or the seeds while there are none."""
+        addresses = [card.address for card in self.live()]
+        return addresses or [seed for seed in self.settings.seeds if seed != self.card.address]
+
+
+def test_a_peer_expires_by_silence_and_second_hand_news_does_not_refresh_it():
+    from dockmux.tempo.clock import _Still
+
+    host = _Still()
+    settings = Settings(
+        name="a",
+        site="s",
+        address="127.0.0.1:1",
+        http="127.0.0.1:2",
+        seeds=["127.0.0.1:9"],
+        peerSilenceMs=5000,
+    )
+    card = PeerCard(name="a", role="r", site="s", address="127.0.0.1:1", http="127.0.0.1:2", incarnation="i", ageMs=0)
+    other = dataclasses.replace(card, name="b", address="127.0.0.1:3")
+    peers = Peers(host=host, settings=settings, card=card)
+    peers.hear(card=card)
+    assert peers.live() == [] and peers.contacts() == ["127.0.0.1:9"]
+    peers.hear(card=other)
+    host.time += ms(4000)
+    peers.hear(card=dataclasses.replace(other, ageMs=4500))
+    assert [c.ageMs for c in peers.live()] == [4000] and peers.contacts() == ["127.0.0.1:3"]
+    host.time += ms(1001)
+    peers.hear(card=dataclasses.replace(other, ageMs=5001))
+    assert peers.live() == []
--- /dev/null
+++ b/dockmux/verge/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: admits, assigns, relays and watches."""
--- /dev/null
+++ b/dockmux/verge/edge.py
@@ -0,0 +1,311 @@
+"""One edge machine's daemon: user agents' streams in, engines' streams out."""
+
+import contextlib
+import json
+import re
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from typing import Any
+
+import urllib3.exceptions
+
+from dockmux.accord import schemas
+from dockmux.accord.catalogue import Note
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host, within
+from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import ms
+from dockmux.accord.types import NewsAsk, PeerCard
+from dockmux.accord.web import HttpStream, Visit, serve
+from dockmux.accord.wire import Caller, Desk
+from dockmux.pact.state import Config
+from dockmux.pact.tree import resolve
+from dockmux.rumour.spread import Spread
+from dockmux.tempo.gossip import Gossip
+from dockmux.tempo.peers import Peers
+from dockmux.verge.follower import Follower
+from dockmux.verge.links import Links
+from dockmux.verge.record import Record, Step
+from dockmux.verge.table import Table
+
+IDENTITY = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+SWITCH_LIMIT = timedelta(milliseconds=800)
+ATTACH_LIMIT = timedelta(seconds=2)
+
+
+class Edge:
+    """Invariant: a request that is refused here has no record that could still be sent."""
+
+    def __init__(self, *, host: Host, settings: Settings) -> None:
+        self.host = host
+        self.settings = settings
+        self.incarnation = f"{host.random.getrandbits(64):016x}"
+        card = PeerCard(
+            name=settings.name, role="edge", site=settings.site, address=settings.address,
+            http=settings.http, incarnation=self.incarnation, ageMs=0,
+        )  # fmt: skip
+        self.peers = Peers(host=host, settings=settings, card=card)
+        self.holder = f"{settings.http} {self.incarnation}"
+        self.draining = False
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator["Edge"]:
+        host, settings = self.host, self.settings
+        with (
+            host.datagrams(address=settings.address) as port,
+            host.listen(address=settings.address) as listener,
+            host.listen(address=settings.http) as web_listener,
+            Caller(host=host) as caller,
+            Links(host=host) as links,
+            Crew(host=host) as crew,
+        ):
+            self.crew = crew
+            self.gossip = Gossip(host=host, settings=settings, peers=self.peers, port=port)
+            self.follower = Follower(host=host, settings=settings, gossip=self.gossip, caller=caller)
+            self.spread = Spread(
+                host=host,
+                settings=settings,
+                gossip=self.gossip,
+                crew=crew,
+                links=links,
+                follower=self.follower,
+            )
+            self.table = Table(
+                host=host, settings=settings, gossip=self.gossip, follower=self.follower, spread=self.spread,
+                links=links, caller=caller, crew=crew, holder=self.holder,
+            )  # fmt: skip
+            desk = Desk(host=host, listener=listener, answers={NewsAsk: self.follower.on_news})
+            for task in (
+                desk.run, self.gossip.run_receiving, self.gossip.run_asking, self.follower.run,
+                self.spread.run, self.table.run,
+            ):  # fmt: skip
+                crew.keep(task=task)
+            crew.keep(task=serve, listener=web_listener, site=self.site)
+            host.log(Note.STARTED, role="edge", name=settings.name, address=settings.address)
+            yield self
+
+    def drain(self) -> int:
+        """Takes on nothing more; says how many requests are still open."""
+        self.draining = True
+        return self.table.open
+
+    # HTTP.
+
+    def site(self, visit: Visit) -> Iterable[bytes]:
+        if visit.path.startswith("/lanes/"):
+            if visit.method != "POST":
+                return visit.conclude(outcome=Outcome(kind=Kind.BAD_METHOD, detail={"method": visit.method}))
+            return self._lane(visit=visit, lane=visit.path[7:])
+        if visit.method == "GET" and visit.path == "/clock":
+            return visit.reply(status=200, fields=self.gossip.report())
+        if visit.method == "GET" and visit.path == "/status":
+            return visit.reply(status=200, fields=self.status())
+        return visit.conclude(outcome=Outcome(kind=Kind.NOT_FOUND, detail={"path": visit.path}))
+
+    def _lane(self, *, visit: Visit, lane: str) -> Iterable[bytes]:
+        if self.draining:
+            return visit.conclude(outcome=Outcome(kind=Kind.DRAINING))
+        body = self._body(visit=visit)
+        if isinstance(body, Outcome):
+            return visit.conclude(outcome=body)
+        identity = visit.header(name="Idempotency-Key") or f"{self.host.random.getrandbits(128):032x}"
+        first = visit.header(name="Dockmux-Resume-From") or "0"
+        wrong = []
+        if not IDENTITY.match(identity):
+            wrong.append({"path": "Idempotency-Key", "error": f"allowed: {IDENTITY.pattern}"})
+        if not first.isdigit() or int(first) > 10_000:
+            wrong.append({"path": "Dockmux-Resume-From", "error": "allowed: a whole number up to 10000"})
+        if wrong:
+            return visit.conclude(outcome=Outcome(kind=Kind.BAD_FIELD, detail={"errors": wrong}))
+        config = self._config()
+        if isinstance(config, Outcome):
+            return visit.conclude(outcome=config)
+        values = resolve(tree=config.tree, lane=lane, site=self.settings.site)
+        if values is None:
+            return visit.conclude(outcome=Outcome(kind=Kind.UNKNOWN_LANE, detail={"lane": lane}))
+        if first != "0" and values["run"] != "resumable":
+            wrong.append({"path": "Dockmux-Resume-From", "error": "this lane's streams are not resumable"})
+            return visit.conclude(outcome=Outcome(kind=Kind.BAD_FIELD, detail={"errors": wrong}))
+        record = self._record(lane=lane, identity=identity, body=body, config=config, values=values, first=int(first))
+        if isinstance(record, Outcome):
+            return visit.conclude(outcome=record)
+        attached = bool(visit.header(name="Dockmux-Attach"))
+        return self._stream(visit=visit, record=record, first=int(first), attached=attached)
+
+    def _body(self, *, visit: Visit) -> dict[str, Any] | Outcome:
+        if visit.content_type != "application/json":
+            allowed = {"found": visit.content_type, "allowed": "application/json"}
+            return Outcome(kind=Kind.BAD_TYPE, detail=allowed)
+        data = visit.body(limitBytes=self.settings.bodyLimitKb * 1024)
+        if data is None:
+            return Outcome(kind=Kind.TOO_LARGE, detail={"limitKb": self.settings.bodyLimitKb})
+        try:
+            body = json.loads(data)
+        except ValueError as error:
+            return Outcome(kind=Kind.BAD_JSON, detail={"why": str(error)})
+        wrong = schemas.errors(name="request", value=body)
+        return Outcome(kind=Kind.BAD_FIELD, detail={"errors": wrong}) if wrong else body
+
+    def _config(self) -> Config | Outcome:
+        """The configuration in use; waits out the short time between one and the next."""
+        limit = self.host.elapsed() + SWITCH_LIMIT
+        while True:
+            config = self.follower.current()
+            if config is not None:
+                return config
+            if not self.gossip.ready():
+                return Outcome(kind=Kind.NOT_READY, detail={"why": "the clock is not synchronized"})
+            if not self.follower.permitted():
+                return Outcome(kind=Kind.NOT_READY, detail={"why": "no fresh news from the control plane"})
+            if not self.follower.configs:
+                return Outcome(kind=Kind.NOT_READY, detail={"why": "no configuration yet"})
+            if self.host.elapsed() >= limit:
+                return Outcome(kind=Kind.NOT_READY, detail={"why": "a configuration is being taken up"})
+            self.host.sleep(wait=ms(10))
+
+    def _record(
+        self,
+        *,
+        lane: str,
+        identity: str,
+        body: dict[str, Any],
+        config: Config,
+        values: dict[str, Any],
+        first: int,
+    ) -> Record | Outcome:
+        """The request's record: the one that it has already, or a new one."""
+        leftMs = min(values["horizonMs"], body.get("horizonMs", values["horizonMs"]))
+        fresh = Record(
+            lane=lane, identity=identity, body=body, arrived=self.host.elapsed(),
+            horizon=self.gossip.clock.use() + ms(leftMs), mark=config.mark, values=values, first_piece=first,
+        )  # fmt: skip
+        known = self.table.records.get(fresh.key)
+        if known is not None:
+            if known.body_digest != fresh.body_digest:
+                return Outcome(kind=Kind.BAD_IDENTITY, detail={"why": "this identity came with another body"})
+            usable = known.outcome is None or known.outcome.kind is Kind.ANSWERED or (known.once and known.sent)
+            if usable and first >= known.first_piece:
+                return known
+            if known.outcome is None:
+                return Outcome(kind=Kind.BUSY, detail={"why": "this identity is being answered from a later piece"})
+            fresh.claimed = known.claimed
+        if self.table.open >= self.settings.record_limit:
+            return Outcome(kind=Kind.BUSY, detail={"why": "too many requests are open here"})
+        if not any(
+            engine["service"] == values["service"] and self.spread.table.fresh(engine=engine["engine"])
+            for engine in self.follower.engines
+        ):
+            return Outcome(kind=Kind.NO_ENGINE, detail={"service": values["service"]})
+        if fresh.once and not fresh.claimed:
+            fresh.step = Step.CLAIM
+        self.table.add(record=fresh)
+        return fresh
+
+    # Streams to user agents.
+
+    def _stream(self, *, visit: Visit, record: Record, first: int, attached: bool) -> Iterator[bytes]:
+        """Gives the pieces as they come, then the one line that says how it ended."""
+        begun = False
+        given = first
+        record.readers += 1
+        try:
+            while True:
+                while given - record.first_piece < len(record.pieces):
+                    text, stampUs = record.pieces[given - record.first_piece]
+                    if not begun:
+                        begun = True
+                        self._begin(visit=visit, record=record)
+                    told = {"request": record.identity, "n": given, "text": text, "stampUs": stampUs}
+                    yield json.dumps(told).encode() + b"\n"
+                    given += 1
+                if record.outcome is not None:
+                    break
+                with contextlib.suppress(TimeoutError), within(wait=ms(500)):
+                    record.news.wait()
+            if record.outcome.kind is Kind.CLAIMED:
+                yield from self._attach(visit=visit, record=record, first=first, attached=attached)
+            elif not begun and record.outcome.kind is not Kind.ANSWERED:
+                yield from visit.conclude(outcome=record.outcome)
+            else:
+                if not begun:
+                    self._begin(visit=visit, record=record)
+                yield self._last_line(record=record, first=first, given=given)
+        finally:
+            record.readers -= 1
+
+    def _begin(self, *, visit: Visit, record: Record) -> None:
+        headers = [("Content-Type", "application/x-ndjson"), ("Dockmux-Request", record.identity)]
+        visit.begin(status=200, headers=headers)
+
+    def _last_line(self, *, record: Record, first: int, given: int) -> bytes:
+        outcome = record.outcome
+        told: dict[str, Any] = {"request": record.identity, "outcome": outcome.kind.value, "count": given}
+        if outcome.kind is Kind.ANSWERED:
+            told |= {"complete": True, "first": first, "digest": record.digest(first=first)}
+        else:
+            told |= {"complete": False, "retryMs": outcome.retryMs, **outcome.detail}
+        return json.dumps(told).encode() + b"\n"
+
+    def _attach(self, *, visit: Visit, record: Record, first: int, attached: bool) -> Iterator[bytes]:
+        """The request was claimed before: its run, or its outcome, is with the daemon that holds the claim."""
+        holder = record.outcome.detail["holder"]
+        self.table.records.pop(record.key, None)
+        unknown = Outcome(kind=Kind.UNKNOWN, detail={"why": "it was taken on before; what became of it is not known"})
+        address = holder.partition(" ")[0]
+        if attached or holder == self.holder or address == self.settings.http:
+            yield from visit.conclude(outcome=unknown)
+            return
+        begun = False
+        try:
+            with HttpStream(host=self.host, address=address, wait=ATTACH_LIMIT) as stream:
+                stream.connect()
+                stream.sock.settimeout(max((record.horizon - self.gossip.clock.use()).total_seconds(), 0.1))
+                headers = {"Idempotency-Key": record.identity, "Dockmux-Attach": "1"}
+                response = stream.ask(method="POST", path=f"/lanes/{record.lane}", fields=record.body, headers=headers)
+                if response.status != 200:
+                    told = json.loads(response.read())
+                    kind = Kind(told.pop("outcome"))
+                    outcome = Outcome(kind=kind, detail=told) if kind in ATTACH_KINDS else unknown
+                    yield from visit.conclude(outcome=outcome)
+                    return
+                for line in response:
+                    if not begun:
+                        self._begin(visit=visit, record=record)
+                        begun = True
+                    yield line if line.endswith(b"\n") else line + b"\n"
+        except (OSError, urllib3.exceptions.HTTPError, ValueError, KeyError):
+            if begun:
+                raise  # The stream breaks off without its last line.
+            yield from visit.conclude(outcome=unknown)
+
+    def status(self) -> dict[str, Any]:
+        config = self.follower.current()
+        open_by_step: dict[str, int] = {}
+        for record in self.table.records.values():
+            if record.outcome is None:
+                open_by_step[record.step.value] = open_by_step.get(record.step.value, 0) + 1
+        return {
+            "name": self.settings.name,
+            "draining": self.draining,
+            "ready": config is not None,
+            "config": config.mark if config else None,
+            "newest": self.follower.configs[-1].mark if self.follower.configs else 0,
+            "permitted": self.follower.permitted(),
+            "clock_ready": self.gossip.ready(),
+            "open": self.table.open,
+            "steps": open_by_step,
+            "engines": [
+                {
+                    "engine": usage.engine, "phase": usage.phase, "running": usage.running,
+                    "queued": usage.queued, "leaving": usage.leaving, "reachable": usage.reachable,
+                    "ageMs": usage.ageMs,
+                }
+                for usage in self.spread.table.summary()
+            ],
+            "tasks_failed": self.crew.failed,
+        }  # fmt: skip
+
+
+# What a holder may say of a claimed request that a repeat is given as its outcome; all else is not known.
+ATTACH_KINDS = {Kind.FAILED, Kind.UNKNOWN, Kind.BAD_IDENTITY}
--- /dev/null
+++ b/dockmux/verge/follower.py
@@ -0,0 +1,145 @@
+"""Follows the control plane: the configuration in use, the engine list, and until when they may be used."""
+
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Host
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import UNBOUNDED, ZERO, ms, to_ms
+from dockmux.accord.types import NewsAsk, NewsReply
+from dockmux.accord.wire import Caller
+from dockmux.pact.state import Config, config_from
+from dockmux.tempo.gossip import Gossip
+
+HOLD_MS = 150
+ASK_LIMIT = timedelta(milliseconds=500)
+CONFIGS_KEPT = 20
+
+
+class Follower:
+    """Invariants:
+    - `until` is a monotonic time up to which no change can have been in force that this daemon does not
+      know of; new sends stop there;
+    - `configs` are in the order of their marks; `usable[mark]` is the monotonic time from which every daemon
+      that does not know the mark must have stopped.
+    """
+
+    def __init__(self, *, host: Host, settings: Settings, gossip: Gossip, caller: Caller) -> None:
+        self.host = host
+        self.settings = settings
+        self.gossip = gossip
+        self.caller = caller
+        self.permit = ms(settings.permitMs)
+        self.mark = 0
+        self.configs: list[Config] = []
+        self.usable: dict[int, timedelta] = {}
+        self.engines: list[dict[str, Any]] = []
+        self.known_at = -UNBOUNDED
+        self.had = False
+
+    @property
+    def until(self) -> timedelta:
+        return self.known_at + self.permit
+
+    def permitted(self) -> bool:
+        return self.host.elapsed() < self.until
+
+    def current(self) -> Config | None:
+        """The configuration that may be used now; None while there is none, or in the short time in which
+        the fleet goes from one to the next."""
+        if not self.permitted() or not self.gossip.ready():
+            return None
+        now = self.gossip.clock.use()
+        bound = self.gossip.clock.bound()
+        chosen = None
+        for config in self.configs:
+            if now + bound < config.activate:
+                break
+            chosen = config
+        if chosen is None:
+            return None
+        if now - bound < chosen.activate or self.host.elapsed() < self.usable[chosen.mark]:
+            return None
+        return chosen
+
+    def run(self) -> None:
+        """Asks a control daemon with the mark that it has, for ever; a peer when none can be reached."""
+        core = ""
+        while True:
+            cores = sorted(card.address for card in self.gossip.peers.live() if card.role == "core")
+            if core not in cores:
+                core = self.host.random.choice(cores) if cores else ""
+            if not core or not self._ask(address=core, holdMs=HOLD_MS):
+                others = [address for address in cores if address != core]
+                core = self.host.random.choice(others) if others else ""
+                if not self.permitted():
+                    self._ask_a_peer()
+                self.host.sleep(wait=ms(20 + self.host.random.randrange(60)))
+            self._note_permission()
+
+    def _ask(self, *, address: str, holdMs: int) -> bool:
+        sent = self.host.elapsed()
+        ask = NewsAsk(mark=self.mark, holdMs=holdMs, sender=self.gossip.peers.me())
+        try:
+            reply = self.caller.call(address=address, ask=ask, wait=ASK_LIMIT)
+        except OSError:
+            return False
+        if not isinstance(reply, NewsReply) or not reply.granted:
+            return False
+        self._take(reply=reply, sent=sent)
+        return True
+
+    def _ask_a_peer(self) -> None:
+        edges = [card.address for card in self.gossip.peers.live() if card.role == "edge"]
+        if edges:
+            self._ask(address=self.host.random.choice(edges), holdMs=0)
+
+    def _take(self, *, reply: NewsReply, sent: timedelta) -> None:
+        if reply.news is not None:
+            self._learn(news=reply.news, heldMs=reply.heldMs)
+        if reply.mark >= self.mark:
+            self.mark = reply.mark
+            self.known_at = max(self.known_at, sent - ms(reply.ageMs))
+
+    def _learn(self, *, news: dict[str, Any], heldMs: int) -> None:
+        known = {config.mark for config in self.configs}
+        fresh = sorted((config_from(fields=f) for f in news["configs"]), key=lambda c: c.mark)
+        for config in fresh:
+            if config.mark in known:
+                continue
+            newest = config.mark == fresh[-1].mark
+            held = min(ms(heldMs), self.permit) if newest else ZERO
+            self.usable[config.mark] = self.host.elapsed() + self.permit - held
+            self.configs.append(config)
+            self.host.log(Note.MARK_LEARNED, mark=config.mark, activate=config.activate.isoformat())
+        self.configs.sort(key=lambda config: config.mark)
+        for config in self.configs[:-CONFIGS_KEPT]:
+            del self.usable[config.mark]
+        self.configs = self.configs[-CONFIGS_KEPT:]
+        if "engines" in news:
+            self.engines = news["engines"]
+
+    def _note_permission(self) -> None:
+        has = self.permitted()
+        if has != self.had:
+            self.had = has
+            self.host.log(Note.PERMISSION_BACK if has else Note.PERMISSION_LOST)
+
+    def on_news(self, *, ask: NewsAsk) -> NewsReply:
+        """For a daemon that reaches no core: what this one knows, with its age."""
+        age = self.host.elapsed() - self.known_at
+        news = None
+        if self.mark > ask.mark:
+            news = {
+                "configs": [c.fields() for c in self.configs if c.mark > ask.mark],
+                "engines": self.engines,
+            }
+        held = self.host.elapsed() - self.usable[self.configs[-1].mark] + self.permit if self.configs else ZERO
+        return NewsReply(
+            granted=age < self.permit,
+            mark=self.mark,
+            ageMs=min(to_ms(age), 86_400_000),
+            heldMs=max(held // ms(1), 0),
+            news=news,
+        )
--- /dev/null
+++ b/dockmux/verge/links.py
@@ -0,0 +1,106 @@
+"""Streams to engines. Every new one asks who is there before anything else is sent on it."""
+
+import contextlib
+import json
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any
+
+import urllib3.exceptions
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Host, within
+from dockmux.accord.web import HttpStream
+
+CONNECT_LIMIT = timedelta(milliseconds=800)
+IDLE_MOST = 8
+
+
+class NotThatEngine(OSError):
+    """Something else answers at the engine's address."""
+
+
+class Links:
+    """Invariants: a stream is idle only after a whole exchange on it; a stream given out has told the
+    service, the engine and the incarnation that is in `identity`."""
+
+    def __init__(self, *, host: Host) -> None:
+        self.host = host
+        self.idle: dict[str, list[HttpStream]] = {}
+
+    def __enter__(self) -> "Links":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for streams in self.idle.values():
+            for stream in streams:
+                stream.close()
+        self.idle.clear()
+
+    @contextlib.contextmanager
+    def open(self, *, engine: dict[str, Any]) -> Iterator[HttpStream]:
+        """A stream on which the engine has named itself; nothing of a request has been sent on it.
+
+        OSError while it cannot be had. What is raised in the body passes through."""
+        stream = self._idle(engine=engine) or self._fresh(engine=engine)
+        whole = False
+        try:
+            yield stream
+            whole = stream.whole
+        finally:
+            kept = self.idle.setdefault(engine["address"], [])
+            if whole and len(kept) < IDLE_MOST:
+                kept.append(stream)
+            else:
+                stream.close()
+
+    def _idle(self, *, engine: dict[str, Any]) -> HttpStream | None:
+        kept = self.idle.get(engine["address"], [])
+        while kept:
+            stream = kept.pop()
+            if stream.is_connected and self._is(engine=engine, identity=stream.identity):
+                stream.whole = False
+                return stream
+            stream.close()
+        return None
+
+    def _fresh(self, *, engine: dict[str, Any]) -> HttpStream:
+        stream = HttpStream(host=self.host, address=engine["address"], wait=CONNECT_LIMIT)
+        done = False
+        try:
+            with within(wait=CONNECT_LIMIT):
+                stream.connect()
+                response = stream.ask(method="GET", path="/identity")
+                identity = json.loads(response.read())
+            if not self._is(engine=engine, identity=identity):
+                self.host.log(
+                    Note.IDENTITY_REFUSED, address=engine["address"], engine=engine["engine"],
+                    service=engine["service"], found=json.dumps(identity)[:200],
+                )  # fmt: skip
+                raise NotThatEngine("another service or engine answers there")
+            stream.identity = identity
+            done = True
+            return stream
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise OSError(f"no identity: {error}") from None
+        finally:
+            if not done:
+                stream.close()
+
+    def _is(self, *, engine: dict[str, Any], identity: Any) -> bool:
+        return (
+            isinstance(identity, dict)
+            and identity.get("service") == engine["service"]
+            and identity.get("engine") == engine["engine"]
+            and isinstance(identity.get("incarnation"), str)
+        )
+
+    def status(self, *, engine: dict[str, Any]) -> dict[str, Any]:
+        with self.open(engine=engine) as stream:
+            try:
+                response = stream.ask(method="GET", path="/status")
+                told = json.loads(response.read())
+            except (urllib3.exceptions.HTTPError, ValueError) as error:
+                raise OSError(str(error)) from None
+            stream.whole = True
+            return told
--- /dev/null
+++ b/dockmux/verge/program.py
@@ -0,0 +1,20 @@
+"""The data daemon's program."""
+
+import argparse
+import sys
+
+from dockmux.accord.daemon import run
+from dockmux.accord.host import Host
+from dockmux.accord.settings import read_or_exit
+from dockmux.verge.edge import Edge
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="verge", description="Data daemon of dockmux, on an edge machine.")
+    settings = read_or_exit(parser=parser, argv=argv)
+    host = Host(name=settings.name)
+    return run(host=host, settings=settings, running=Edge(host=host, settings=settings).running())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dockmux/verge/record.py
@@ -0,0 +1,115 @@
+"""A request as a row of the table that the passes run over."""
+
+import dataclasses
+import hashlib
+from datetime import datetime, timedelta
+from enum import StrEnum
+from typing import Any
+
+from eventlet.event import Event
+
+from dockmux.accord.kinds import Kind, Outcome
+
+
+class Step(StrEnum):
+    """Where a request stands."""
+
+    CLAIM = "claim"  # waits for its claim to be asked for
+    CLAIMING = "claiming"  # its claim is with the chain
+    READ = "read"  # waits for an engine to read its prompt
+    READING = "reading"  # an engine reads it
+    WRITE = "write"  # waits for an engine to stream its answer
+    WRITING = "writing"  # an engine streams it
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Record:
+    """Invariants:
+    - `sent` becomes true before the first byte of the request may leave for an engine and stays so; while it
+      is true the outcome is no refusal;
+    - `sends` counts, by leg, how often the leg was sent; on a lane run once neither exceeds one;
+    - `pieces` (text and tempo stamp) only grows, is numbered from `first_piece` and is the same for every
+      reader;
+    - `claimed` is true once the chain holds this daemon's claim for it;
+    - `outcome` is set once, together with step ENDED;
+    - `horizon` is on tempo's time; `mark` is the configuration that the values below were taken from, and
+      every send checks that it is still the current one or takes the values anew.
+    """
+
+    lane: str
+    identity: str
+    body: dict[str, Any]
+    arrived: timedelta
+    horizon: datetime
+    mark: int
+    values: dict[str, Any]
+    first_piece: int = 0
+    step: Step = Step.READ
+    sent: bool = False
+    sends: dict[str, int] = dataclasses.field(default_factory=lambda: {"read": 0, "write": 0})
+    tried: set[str] = dataclasses.field(default_factory=set)
+    wait_until: timedelta = timedelta()
+    memory: dict[str, Any] | None = None
+    memory_engine: dict[str, Any] | None = None
+    pieces: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    claimed: bool = False
+    trouble: str = ""
+    outcome: Outcome | None = None
+    ended_at: timedelta = timedelta()
+    readers: int = 0
+    task: Any = None
+    news: Event = dataclasses.field(default_factory=Event)
+
+    @property
+    def once(self) -> bool:
+        return self.values["run"] == "once"
+
+    @property
+    def key(self) -> str:
+        return f"{self.lane}/{self.identity}"
+
+    @property
+    def prefix_digest(self) -> str:
+        kept = [self.values["model"], self.values["adapter"], self.body.get("prefix", "")]
+        return hashlib.sha256(repr(kept).encode()).hexdigest()[:32]
+
+    @property
+    def body_digest(self) -> str:
+        return hashlib.sha256(repr(sorted(self.body.items())).encode()).hexdigest()[:32]
+
+    def tell(self) -> None:
+        """Wakes whoever reads this record."""
+        news, self.news = self.news, Event()
+        news.send(None)
+
+    def add(self, *, text: str, stampUs: int) -> None:
+        self.pieces.append((text, stampUs))
+        self.tell()
+
+    def end(self, *, outcome: Outcome, at: timedelta) -> None:
+        if self.outcome is not None:
+            return
+        if self.sent and outcome.answer.refusal:
+            outcome = Outcome(kind=Kind.FAILED, detail=outcome.detail, retryMs=outcome.retryMs)
+        self.outcome = outcome
+        self.step = Step.ENDED
+        self.ended_at = at
+        self.tell()
+
+    def digest(self, *, first: int) -> str:
+        """Of the texts from a piece on, for the last line of a stream."""
+        texts = [text for text, _ in self.pieces[first - self.first_piece :]]
+        return hashlib.sha256("".join(texts).encode()).hexdigest()
+
+
+def test_once_sent_a_record_never_ends_in_a_refusal_and_ends_once():
+    record = Record(
+        lane="l", identity="i", body={"prompt": "p"}, arrived=timedelta(), horizon=datetime(2026, 1, 1), mark=1,
+        values={"run": "once", "model": "m", "adapter": None},
+    )  # fmt: skip
+    record.sent = True
+    record.end(outcome=Outcome(kind=Kind.BUSY), at=timedelta())
+    assert record.outcome.kind is Kind.FAILED
+    record.end(outcome=Outcome(kind=Kind.ANSWERED), at=timedelta())
+    assert record.outcome.kind is Kind.FAILED
--- /dev/null
+++ b/dockmux/verge/table.py
@@ -0,0 +1,281 @@
+"""The table of requests and the passes that are run over it. Passes never wait; stream tasks do."""
+
+from datetime import timedelta
+from typing import Any
+
+from eventlet.event import Event
+
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host, within
+from dockmux.accord.journal import Journal
+from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import ms
+from dockmux.accord.types import WriteAsk, WriteReply
+from dockmux.accord.wire import Caller
+from dockmux.pact.tree import extra_percent, resolve
+from dockmux.rumour.spread import Spread
+from dockmux.tempo.gossip import Gossip
+from dockmux.verge.assign import Offer, assign
+from dockmux.verge.budget import Budget, Sent
+from dockmux.verge.follower import Follower
+from dockmux.verge.legs import Broken, Legs, MemoryLapsed, NotSent, Rejected
+from dockmux.verge.links import Links
+from dockmux.verge.record import Record, Step
+
+CLAIM_LIMIT = timedelta(seconds=6)
+ENDED_KEPT = timedelta(minutes=10)
+ENDED_MOST = 5000
+AGAIN = timedelta(milliseconds=40)
+
+
+class Table:
+    """Invariants:
+    - `records` holds every request that has not ended, by key, and those that ended a short while ago;
+    - `own` counts the legs under way from here, by engine;
+    - a record is changed by the passes, or by the one stream task that its step names.
+    """
+
+    def __init__(
+        self, *, host: Host, settings: Settings, gossip: Gossip, follower: Follower, spread: Spread,
+        links: Links, caller: Caller, crew: Crew, holder: str,
+    ) -> None:  # fmt: skip
+        self.host = host
+        self.settings = settings
+        self.gossip = gossip
+        self.follower = follower
+        self.spread = spread
+        self.caller = caller
+        self.crew = crew
+        self.holder = holder
+        self.budget = Budget()
+        self.journal = Journal(views=[self.budget])
+        self.records: dict[str, Record] = {}
+        self.open = 0
+        self.own: dict[str, int] = {}
+        self.stir = Event()
+        self.legs = Legs(host=host, clock=gossip.clock, links=links, may_send=self.may_send, name=settings.name)
+
+    def add(self, *, record: Record) -> None:
+        self.records[record.key] = record
+        self.open += 1
+        self.wake()
+
+    def wake(self) -> None:
+        stir, self.stir = self.stir, Event()
+        stir.send(None)
+
+    def end(self, *, record: Record, kind: Kind, retryMs: int = 1000, **detail: Any) -> None:
+        if record.outcome is None:
+            record.end(outcome=Outcome(kind=kind, detail=detail, retryMs=retryMs), at=self.host.elapsed())
+            self.open -= 1
+
+    # Passes.
+
+    def run(self) -> None:
+        while True:
+            try:
+                with within(wait=ms(20)):
+                    self.stir.wait()
+            except TimeoutError:
+                pass
+            self.expire()
+            self.claim()
+            self.assign()
+            self.forget()
+
+    def _open_records(self) -> list[Record]:
+        return [record for record in self.records.values() if record.outcome is None]
+
+    def expire(self) -> None:
+        """Stop at now + bound: whoever is past its horizon has its final outcome at once."""
+        now = self.gossip.clock.use() + self.gossip.clock.bound()
+        for record in self._open_records():
+            if now >= record.horizon:
+                kind = Kind.UNKNOWN if record.sent else Kind.LATE
+                self.end(record=record, kind=kind, why="horizon passed")
+                if record.task is not None:
+                    record.task.kill()
+            elif record.readers == 0 and not record.once and record.task is not None:
+                # Nobody is left to read it.
+                self.end(record=record, kind=Kind.FAILED, why="the user agent has gone")
+                record.task.kill()
+
+    def claim(self) -> None:
+        for record in self._open_records():
+            if record.step is Step.CLAIM:
+                record.step = Step.CLAIMING
+                self.crew.start(task=self._claim, record=record)
+
+    def assign(self) -> None:
+        """Most urgent first, then nearest horizon."""
+        waiting = [r for r in self._open_records() if r.step in (Step.READ, Step.WRITE)]
+        if not waiting or self.follower.current() is None:
+            return
+        now = self.host.elapsed()
+        waiting.sort(key=lambda r: (-r.values["urgency"], r.horizon, r.key))
+        offers: dict[tuple[str, str], list[Offer]] = {}
+        for record in waiting:
+            if now < record.wait_until:
+                continue
+            phase = "prefill" if record.step is Step.READ else "decode"
+            place = (record.values["service"], phase)
+            if place not in offers:
+                offers[place] = self._offers(service=place[0], phase=phase)
+            chosen = assign(
+                offers=offers[place],
+                prefix_digest=record.prefix_digest if phase == "prefill" and record.body.get("prefix") else None,
+                site=self.settings.site,
+                avoid=record.tried,
+            )
+            if chosen is None:
+                continue
+            name = chosen.engine["engine"]
+            self.own[name] = self.own.get(name, 0) + 1
+            offers[place] = self._offers(service=place[0], phase=phase)
+            record.step = Step.READING if record.step is Step.READ else Step.WRITING
+            record.task = self.crew.start(task=self._leg, record=record, engine=chosen.engine)
+
+    def _offers(self, *, service: str, phase: str) -> list[Offer]:
+        offers = []
+        for engine in self.follower.engines:
+            usage = self.spread.table.fresh(engine=engine["engine"])
+            own = self.own.get(engine["engine"], 0)
+            if (
+                engine["service"] == service
+                and usage is not None
+                and usage.reachable
+                and usage.phase == phase
+                and not usage.leaving
+                and not engine.get("leaving")
+                and own < self.settings.engine_streams
+            ):
+                offers.append(Offer(engine=engine, usage=usage, own=own))
+        return offers
+
+    def forget(self) -> None:
+        """Ended records are kept a while for repeats, and no longer."""
+        limit = self.host.elapsed() - ENDED_KEPT
+        ended = [r for r in self.records.values() if r.outcome is not None and r.readers == 0]
+        surplus = len(ended) - ENDED_MOST
+        for place, record in enumerate(ended):
+            if record.ended_at < limit or place < surplus:
+                del self.records[record.key]
+
+    # Stream tasks.
+
+    def _claim(self, *, record: Record) -> None:
+        change = {"kind": "claim", "key": record.key, "holder": self.holder}
+        cores = sorted(card.address for card in self.gossip.peers.live() if card.role == "core")
+        kind, detail = Kind.NOT_READY, {"why": "no core can be reached"}
+        if cores:
+            try:
+                reply = self.caller.call(
+                    address=self.host.random.choice(cores),
+                    ask=WriteAsk(change=change, relayed=False),
+                    wait=CLAIM_LIMIT,
+                )
+                if isinstance(reply, WriteReply):
+                    kind, detail = Kind(reply.kind), reply.detail
+            except OSError:
+                # Perhaps claimed, but nothing has been sent and, from here, nothing will be.
+                kind, detail = Kind.NOT_READY, {"why": "the claim was not answered"}
+        if record.outcome is not None:
+            return
+        if kind is Kind.ANSWERED:
+            record.claimed = True
+            record.step = Step.READ
+            self.wake()
+        elif kind is Kind.CLAIMED:
+            self.end(record=record, kind=Kind.CLAIMED, **detail)
+        else:
+            refused = {"why": detail.get("why", kind.value)}
+            self.end(record=record, kind=Kind.BUSY if kind is Kind.BUSY else Kind.NOT_READY, **refused)
+
+    def may_send(self, *, record: Record, engine: dict[str, Any], leg: str) -> bool:
+        """The last look before a leg's first byte: permission, mark, lane, engine, horizon, budget."""
+        config = self.follower.current()
+        if config is None or record.outcome is not None:
+            return False
+        clock = self.gossip.clock
+        if clock.use() + clock.bound() >= record.horizon:
+            return False
+        values = resolve(tree=config.tree, lane=record.lane, site=self.settings.site)
+        if values is None:
+            self.end(record=record, kind=Kind.UNKNOWN_LANE, lane=record.lane)
+            return False
+        if config.mark != record.mark:
+            if leg == "write" and any(values[k] != record.values[k] for k in ("service", "model", "adapter")):
+                record.memory = None  # It was read for what the lane no longer is.
+                record.step = Step.READ
+            record.mark, record.values = config.mark, {**values, "run": record.values["run"]}
+        listed = any(
+            e["engine"] == engine["engine"] and e["address"] == engine["address"] and not e.get("leaving")
+            for e in self.follower.engines
+        )
+        usage = self.spread.table.fresh(engine=engine["engine"])
+        if not listed or engine["service"] != record.values["service"] or usage is None or usage.leaving:
+            return False
+        if leg == "write" and record.memory is None:
+            return False
+        extra = record.sends[leg] > 0
+        if extra and record.once:
+            return False
+        service, now = record.values["service"], self.host.elapsed()
+        if extra and not self.budget.allows(
+            journal=self.journal,
+            service=service,
+            percent=extra_percent(tree=config.tree, service=service),
+            now=now,
+        ):
+            self.end(record=record, kind=Kind.FAILED, why="no extra send is left")
+            return False
+        record.sends[leg] += 1
+        record.sent = True
+        self.journal.append(event=Sent(at=now, service=service, extra=extra))
+        return True
+
+    def _leg(self, *, record: Record, engine: dict[str, Any]) -> None:
+        reading = record.step is Step.READING
+        name = engine["engine"]
+        try:
+            if reading:
+                self.legs.read(record=record, engine=engine)
+                record.step = Step.WRITE
+            else:
+                self.legs.write(record=record, engine=engine)
+                self.end(record=record, kind=Kind.ANSWERED)
+        except NotSent:
+            record.tried.add(name)
+            self._again(record=record, step=Step.READ if reading or record.memory is None else Step.WRITE)
+        except Rejected as error:
+            why = f"the engine would not: {error}"
+            self._recover(record=record, engine=name, reading=reading, kind=Kind.FAILED, why=why)
+        except MemoryLapsed:
+            why = "the prompt's memory lapsed"
+            self._recover(record=record, engine=name, reading=True, kind=Kind.FAILED, why=why)
+        except Broken as error:
+            kind = Kind.UNKNOWN if record.once else Kind.FAILED
+            self._recover(record=record, engine=name, reading=reading, kind=kind, why=str(error))
+        finally:
+            self.own[name] -= 1
+            record.task = None
+            self.wake()
+
+    def _again(self, *, record: Record, step: Step) -> None:
+        if record.outcome is None:
+            record.step = step
+            record.wait_until = self.host.elapsed() + AGAIN / 2 + AGAIN * self.host.random.random()
+
+    def _recover(self, *, record: Record, engine: str, reading: bool, kind: Kind, why: str) -> None:
+        """Another send where the lane allows it and the reader has not been given a part that another run
+        would not continue."""
+        record.tried.add(engine)
+        record.trouble = why
+        whole_again = record.values["run"] == "resumable" or not record.pieces
+        if record.once or not whole_again:
+            self.end(record=record, kind=kind, why=why)
+            return
+        if reading:
+            record.memory = None
+        self._again(record=record, step=Step.READ if record.memory is None else Step.WRITE)
