--- a/dockmux/tempo/clock.py
+++ b/dockmux/tempo/clock.py
@@ -274,7 +274,7 @@
     assert clock.better(sample=_sample(clock=clock, hops=7))  # nothing outstanding: hops do not count
     assert clock.consider(sample=_sample(clock=clock, aheadUs=15_000, hops=3))
     clock.host.time += timedelta(seconds=1)
-    assert clock.correction == us(10_000) and clock.hops == 4
+    assert clock.bound() < UNBOUNDED and clock.correction == us(10_000) and clock.hops == 4
     assert not clock.better(sample=_sample(clock=clock, dispersionUs=0, hops=4))  # outstanding, H not higher
     assert not clock.better(sample=_sample(clock=clock, dispersionUs=0, hops=5))
     assert clock.better(sample=_sample(clock=clock, dispersionUs=0, hops=3))  # outstanding, H higher
