--- a/dockmux/accord/host.py
+++ b/dockmux/accord/host.py
@@ -99,6 +99,7 @@
 
     def connect(self, *, address: str, wait: timedelta) -> Any:
         sock = socket.create_connection(split_address(address=address), timeout=wait.total_seconds())
+        sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
 
--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -9,7 +9,7 @@
 import urllib3.connection
 from eventlet import wsgi
 
-from dockmux.accord.host import Host, split_address
+from dockmux.accord.host import Host, split_address, within
 from dockmux.accord.kinds import Answer, Outcome
 
 SEND_LIMIT = timedelta(seconds=10)
@@ -101,7 +101,8 @@
 
     def __init__(self, *, host: Host, address: str, wait: timedelta) -> None:
         ip, port = split_address(address=address)
-        super().__init__(ip, port, timeout=wait.total_seconds())
+        # Reading is bounded by whoever reads; only connecting is bounded here.
+        super().__init__(ip, port, timeout=None)
         self.seam = host
         self.target = address
         self.wait = wait
@@ -135,7 +136,7 @@
     fields: Any = None, headers: dict[str, str] | None = None,
 ) -> tuple[int, Any, dict[str, str]]:  # fmt: skip
     """One whole exchange on a stream of its own: status, JSON, headers."""
-    with HttpStream(host=host, address=address, wait=wait) as stream:
+    with within(wait=wait), HttpStream(host=host, address=address, wait=wait) as stream:
         stream.connect()
         response = stream.ask(method=method, path=path, fields=fields, headers=headers)
         data = response.read()
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -6,6 +6,7 @@
 
 from eventlet.event import Event
 
+from dockmux.accord.bell import Bell
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import Host, within
 from dockmux.accord.kinds import Kind, Outcome
@@ -81,8 +82,8 @@
         self.extending = council.extending
         self.pending: list[Write] = []
         self.waiting: list[Write] = []
-        self.stir = Event()
-        self.news = Event()
+        self.stir = Bell()
+        self.news = Bell()
         self.known_at = ZERO
         self.learned: dict[int, timedelta] = {}
         self.needs_snapshot = True
@@ -112,11 +113,13 @@
             return self._relay(head=view.chain[0], change=change, relayed=relayed)
         if not self.council.under_permit():
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "the head holds no permit"})
+        if not self.gossip.ready():
+            return Outcome(kind=Kind.NOT_READY, detail={"why": "the head's clock is not synchronized"})
         if len(view.chain) < 2:
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "one copy only: two must hold a change"})
         write = Write(change=change)
         self.pending.append(write)
-        self._stir()
+        self.stir.ring()
         try:
             with within(wait=WRITE_LIMIT):
                 return write.done.wait()
@@ -143,10 +146,6 @@
         outcome = self.write(change=ask.change, relayed=ask.relayed)
         return WriteReply(kind=outcome.kind.value, mark=outcome.detail.get("mark", 0), detail=outcome.detail)
 
-    def _stir(self) -> None:
-        stir, self.stir = self.stir, Event()
-        stir.send(None)
-
     def run_head(self) -> None:
         """Takes up pending changes, adds them, and has the rest of the chain follow."""
         while True:
@@ -158,7 +157,7 @@
                 self.planned = self._plan()
                 self.planned_view = self.council.view.number
             if not self.pending and self.state.mark == self.synced:
-                self._rest()
+                self.stir.wait(wait=ms(50))
                 continue
             try:
                 self._extend()
@@ -166,13 +165,6 @@
             except OSError:
                 self.host.sleep(wait=ms(50))
 
-    def _rest(self) -> None:
-        try:
-            with within(wait=ms(50)):
-                self.stir.wait()
-        except TimeoutError:
-            return
-
     def _settle_lost(self) -> None:
         """A head that was replaced does not know what became of its changes."""
         if self.waiting and not self.council.is_head():
@@ -323,8 +315,7 @@
             self.state.fold(mark=entry.mark, change=entry.change)
         self._note_learned()
         if self.state.news_mark != newest:
-            news, self.news = self.news, Event()
-            news.send(None)
+            self.news.ring()
         done = [write for write in self.waiting if write.mark <= self.state.mark]
         self.waiting = [write for write in self.waiting if write.mark > self.state.mark]
         for write in done:
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -10,7 +10,7 @@
 from dockmux.accord import schemas
 from dockmux.accord.catalogue import Note
 from dockmux.accord.crew import Crew
-from dockmux.accord.host import Host, within
+from dockmux.accord.host import Host
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import instant_us, ms, to_ms
@@ -39,6 +39,7 @@
 from dockmux.tempo.peers import Peers
 
 JOIN_PATIENCE = timedelta(seconds=3)
+HOLD_LIMIT = timedelta(seconds=1)
 
 
 class Core:
@@ -138,16 +139,9 @@
     def on_news(self, *, ask: NewsAsk) -> NewsReply:
         self.chain.note_session(card=ask.sender)
         if self.chain.state.news_mark <= ask.mark:
-            self._hold(holdMs=ask.holdMs)
+            self.chain.news.wait(wait=min(ms(ask.holdMs), HOLD_LIMIT))
         return self._news(since=ask.mark)
 
-    def _hold(self, *, holdMs: int) -> None:
-        try:
-            with within(wait=min(ms(holdMs), timedelta(seconds=10))):
-                self.chain.news.wait()
-        except TimeoutError:
-            return
-
     def _news(self, *, since: int) -> NewsReply:
         state = self.chain.state
         age = self.chain.age()
--- a/dockmux/surge/agent.py
+++ b/dockmux/surge/agent.py
@@ -60,7 +60,6 @@
             except (OSError, urllib3.exceptions.HTTPError):
                 seen.kind = "unreachable"
                 return
-            stream.sock.settimeout((ask.horizon + OVERTIME).total_seconds())
             seen.kind = "cut"
             headers = {"Idempotency-Key": ask.identity, "User-Agent": "surge"}
             if start:
--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -12,7 +12,7 @@
 from dockmux.accord import schemas
 from dockmux.accord.catalogue import Note
 from dockmux.accord.crew import Crew
-from dockmux.accord.host import Host, within
+from dockmux.accord.host import Host
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ms
@@ -221,8 +221,7 @@
                     given += 1
                 if record.outcome is not None:
                     break
-                with contextlib.suppress(TimeoutError), within(wait=ms(500)):
-                    record.news.wait()
+                record.news.wait(wait=ms(500))
             if record.outcome.kind is Kind.CLAIMED:
                 yield from self._attach(visit=visit, record=record, first=first, attached=attached)
             elif not begun and record.outcome.kind is not Kind.ANSWERED:
@@ -260,7 +259,7 @@
         try:
             with HttpStream(host=self.host, address=address, wait=ATTACH_LIMIT) as stream:
                 stream.connect()
-                stream.sock.settimeout(max((record.horizon - self.gossip.clock.use()).total_seconds(), 0.1))
+                stream.timeout = max((record.horizon - self.gossip.clock.use()).total_seconds(), 0.1)
                 headers = {"Idempotency-Key": record.identity, "Dockmux-Attach": "1"}
                 response = stream.ask(method="POST", path=f"/lanes/{record.lane}", fields=record.body, headers=headers)
                 if response.status != 200:
--- a/dockmux/verge/record.py
+++ b/dockmux/verge/record.py
@@ -6,8 +6,7 @@
 from enum import StrEnum
 from typing import Any
 
-from eventlet.event import Event
-
+from dockmux.accord.bell import Bell
 from dockmux.accord.kinds import Kind, Outcome
 
 
@@ -59,7 +58,7 @@
     ended_at: timedelta = timedelta()
     readers: int = 0
     task: Any = None
-    news: Event = dataclasses.field(default_factory=Event)
+    news: Bell = dataclasses.field(default_factory=Bell)
 
     @property
     def once(self) -> bool:
@@ -78,14 +77,9 @@
     def body_digest(self) -> str:
         return hashlib.sha256(repr(sorted(self.body.items())).encode()).hexdigest()[:32]
 
-    def tell(self) -> None:
-        """Wakes whoever reads this record."""
-        news, self.news = self.news, Event()
-        news.send(None)
-
     def add(self, *, text: str, stampUs: int) -> None:
         self.pieces.append((text, stampUs))
-        self.tell()
+        self.news.ring()
 
     def end(self, *, outcome: Outcome, at: timedelta) -> None:
         if self.outcome is not None:
@@ -95,7 +89,7 @@
         self.outcome = outcome
         self.step = Step.ENDED
         self.ended_at = at
-        self.tell()
+        self.news.ring()
 
     def digest(self, *, first: int) -> str:
         """Of the texts from a piece on, for the last line of a stream."""
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -3,10 +3,9 @@
 from datetime import timedelta
 from typing import Any
 
-from eventlet.event import Event
-
+from dockmux.accord.bell import Bell
 from dockmux.accord.crew import Crew
-from dockmux.accord.host import Host, within
+from dockmux.accord.host import Host
 from dockmux.accord.journal import Journal
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.settings_type import Settings
@@ -53,17 +52,13 @@
         self.records: dict[str, Record] = {}
         self.open = 0
         self.own: dict[str, int] = {}
-        self.stir = Event()
+        self.stir = Bell()
         self.legs = Legs(host=host, clock=gossip.clock, links=links, may_send=self.may_send, name=settings.name)
 
     def add(self, *, record: Record) -> None:
         self.records[record.key] = record
         self.open += 1
-        self.wake()
-
-    def wake(self) -> None:
-        stir, self.stir = self.stir, Event()
-        stir.send(None)
+        self.stir.ring()
 
     def end(self, *, record: Record, kind: Kind, retryMs: int = 1000, **detail: Any) -> None:
         if record.outcome is None:
@@ -74,11 +69,7 @@
 
     def run(self) -> None:
         while True:
-            try:
-                with within(wait=ms(20)):
-                    self.stir.wait()
-            except TimeoutError:
-                pass
+            self.stir.wait(wait=ms(20))
             self.expire()
             self.claim()
             self.assign()
@@ -185,7 +176,7 @@
         if kind is Kind.ANSWERED:
             record.claimed = True
             record.step = Step.READ
-            self.wake()
+            self.stir.ring()
         elif kind is Kind.CLAIMED:
             self.end(record=record, kind=Kind.CLAIMED, **detail)
         else:
@@ -260,7 +251,7 @@
         finally:
             self.own[name] -= 1
             record.task = None
-            self.wake()
+            self.stir.ring()
 
     def _again(self, *, record: Record, step: Step) -> None:
         if record.outcome is None:
