--- a/dockmux/accord/codec.py
+++ b/dockmux/accord/codec.py
@@ -14,47 +14,72 @@
     """What was read is not a message of the schema."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Slot:
+    """One field of a message, worked out once: its JSON type, or the message type that it holds."""
+
+    name: str
+    needed: bool
+    wanted: type
+    inner: type | None
+    listed: bool
+    optional: bool
+
+
 @cache
-def _hints(kind: type) -> dict[str, Any]:
-    return typing.get_type_hints(kind)
-
-
-def _read(*, hint: Any, value: Any) -> Any:
-    origin = typing.get_origin(hint)
-    if origin in (typing.Union, stdlib_types.UnionType):
-        if value is None:
-            return None
-        return _read(hint=next(a for a in typing.get_args(hint) if a is not type(None)), value=value)
-    if dataclasses.is_dataclass(hint):
-        return from_fields(kind=hint, fields=value)
-    if origin is list:
-        if not isinstance(value, list):
-            raise Malformed(f"expected a list, found {type(value).__name__}")
-        (inner,) = typing.get_args(hint)
-        return [_read(hint=inner, value=item) for item in value]
-    wanted = origin or hint
-    if wanted is Any:
-        return value
-    if not isinstance(value, wanted) or (wanted is int and isinstance(value, bool)):
-        raise Malformed(f"expected {wanted.__name__}, found {type(value).__name__}")
-    return value
+def _slots(kind: type) -> tuple[_Slot, ...]:
+    hints = typing.get_type_hints(kind)
+    slots = []
+    for field in dataclasses.fields(kind):
+        hint = hints[field.name]
+        optional = typing.get_origin(hint) in (typing.Union, stdlib_types.UnionType)
+        if optional:
+            hint = next(a for a in typing.get_args(hint) if a is not type(None))
+        listed = typing.get_origin(hint) is list
+        inner = typing.get_args(hint)[0] if listed else hint
+        inner_kind = inner if dataclasses.is_dataclass(inner) else None
+        no_default = field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING
+        wanted = list if listed else dict if inner_kind else typing.get_origin(hint) or hint
+        slots.append(
+            _Slot(
+                name=field.name, needed=no_default, wanted=wanted, inner=inner_kind, listed=listed, optional=optional
+            )
+        )
+    return tuple(slots)
 
 
 def from_fields(*, kind: type, fields: Any) -> Any:
     if not isinstance(fields, dict):
         raise Malformed(f"expected an object for {kind.__name__}")
     known = {}
-    hints = _hints(kind)
-    for field in dataclasses.fields(kind):
-        if field.name in fields:
-            known[field.name] = _read(hint=hints[field.name], value=fields[field.name])
-        elif field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING:
-            raise Malformed(f"{kind.__name__} lacks {field.name}")
+    for slot in _slots(kind):
+        if slot.name not in fields:
+            if slot.needed:
+                raise Malformed(f"{kind.__name__} lacks {slot.name}")
+            continue
+        value = fields[slot.name]
+        if value is None and slot.optional:
+            known[slot.name] = None
+            continue
+        if not isinstance(value, slot.wanted) or (value.__class__ is bool and slot.wanted is int):
+            raise Malformed(f"expected {slot.wanted.__name__}, found {type(value).__name__}")
+        if slot.inner is not None:
+            if slot.listed:
+                value = [from_fields(kind=slot.inner, fields=item) for item in value]
+            else:
+                value = from_fields(kind=slot.inner, fields=value)
+        known[slot.name] = value
     return kind(**known)
 
 
 def to_fields(*, message: Any) -> dict[str, Any]:
-    return dataclasses.asdict(message)
+    fields = {}
+    for slot in _slots(type(message)):
+        value = getattr(message, slot.name)
+        if slot.inner is not None and value is not None:
+            value = [to_fields(message=item) for item in value] if slot.listed else to_fields(message=value)
+        fields[slot.name] = value
+    return fields
 
 
 def encode(*, message: Any) -> bytes:
--- a/dockmux/omen/world.py
+++ b/dockmux/omen/world.py
@@ -64,10 +64,6 @@
         self.logged: list[tuple[timedelta, str, Note, str]] = []
         self.crashes: list[str] = []
 
-    @property
-    def hub(self) -> VirtualHub:
-        return hubs.get_hub()
-
     def now(self) -> timedelta:
         """True time since the run began."""
         return us(round(self.hub.moment * 1_000_000))
@@ -76,6 +72,7 @@
     def open(self) -> Iterator["World"]:
         """Virtual time holds inside."""
         hubs.use_hub(VirtualHub)
+        self.hub: VirtualHub = hubs.get_hub()
         try:
             yield self
         finally:
@@ -145,6 +142,8 @@
         self.streams: list[SimStream] = []
         self.closing: list[Any] = []
         self.writing: tuple[str, int, bytes] | None = None
+        self.read_at = -1.0
+        self.read = timedelta()
 
     def keep(self, task: Any) -> None:
         self.tasks.append(task)
@@ -152,8 +151,12 @@
             self.tasks = [kept for kept in self.tasks if not getattr(kept, "dead", False)]
 
     def elapsed(self) -> timedelta:
-        true = self.world.now()
-        return self.machine.uptime + true + us(round(true // us(1) * self.machine.driftPpm / 1_000_000))
+        moment = self.world.hub.moment
+        if moment != self.read_at:
+            self.read_at = moment
+            driftUs = round(moment * self.machine.driftPpm)
+            self.read = self.machine.uptime + us(round(moment * 1_000_000) + driftUs)
+        return self.read
 
     def wall(self) -> datetime:
         return BEGIN + self.world.now() + self.machine.wall_offset
