--- a/dockmux/accord/codec.py
+++ b/dockmux/accord/codec.py
@@ -41,9 +41,7 @@
         no_default = field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING
         wanted = list if listed else dict if inner_kind else typing.get_origin(hint) or hint
         slots.append(
-            _Slot(
-                name=field.name, needed=no_default, wanted=wanted, inner=inner_kind, listed=listed, optional=optional
-            )
+            _Slot(name=field.name, needed=no_default, wanted=wanted, inner=inner_kind, listed=listed, optional=optional)
         )
     return tuple(slots)
 
--- a/dockmux/guise/engine.py
+++ b/dockmux/guise/engine.py
@@ -109,7 +109,7 @@
     def _status(self) -> dict[str, Any]:
         return {
             **self._identity(), "phase": self.phase, "running": self.running_count, "queued": self.queued,
-            "leaving": self.leaving, "order_mark": self.order_mark,
+            "leaving": self.leaving, "order_mark": self.order_mark, "nowUs": to_us(self.host.elapsed()),
             "capacity": self.speed.prefill_slots if self.phase == "prefill" else self.speed.decode_slots,
         }  # fmt: skip
 
@@ -119,9 +119,12 @@
         return visit.reply(status=200, fields=self._status())
 
     def _order(self, *, visit: Visit, fields: dict[str, Any]) -> list[bytes]:
+        """Taken only while the permit that it was given under holds, on this engine's clock."""
+        late = to_us(self.host.elapsed()) > fields["untilUs"]
+        if late or fields["mark"] < self.order_mark:
+            self.note(what="order_refused", mark=fields["mark"], by=fields["by"], late=late)
+            return visit.reply(status=409, fields={"why": "late" if late else "a later permit has commanded"})
         self.note(what="order", mark=fields["mark"], phase=fields["phase"], by=fields["by"])
-        if fields["mark"] < self.order_mark:
-            return visit.reply(status=409, fields={"why": "an order of a later permit was taken"})
         self.order_mark = fields["mark"]
         if fields["phase"] != self.phase:
             self.phase = fields["phase"]
--- /dev/null
+++ b/dockmux/omen/day.py
@@ -0,0 +1,131 @@
+"""One simulated day, small: a fleet under load, a schedule of faults, then quiet, then the checkers."""
+
+import dataclasses
+from datetime import timedelta
+from typing import Any
+
+import eventlet
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.span import ms
+from dockmux.omen import checks
+from dockmux.omen.faults import Doer, Fault, draw
+from dockmux.omen.fleet import SimFleet, fleet
+from dockmux.omen.truth import Told, Truth, rows_of
+from dockmux.stage.plan import Plan, load
+from dockmux.surge.crowd import Crowd
+
+SECOND = timedelta(seconds=1)
+LEAD_IN = 3 * SECOND
+QUIET = 20 * SECOND
+READ_LIMIT = 15 * SECOND
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """What one day came to."""
+
+    fleet: str
+    seed: int
+    faults: list[Fault]
+    wrong: dict[str, list[str]]
+    outcomes: dict[str, int]
+    sent: int
+    recoveredMs: int
+    events: list[str]
+
+
+def run(
+    *,
+    plan: Plan,
+    seed: int,
+    lasts: timedelta = 25 * SECOND,
+    count: int = 6,
+    kinds: list[str] | None = None,
+    only: list[int] | None = None,
+) -> Verdict:
+    """Runs the day of a seed; `only` keeps the faults of these numbers and leaves out the rest."""
+    faults = draw(seed=seed, lasts=lasts, count=count, kinds=kinds)
+    if only is not None:
+        faults = [fault for fault in faults if fault.number in only]
+    with fleet(plan=plan, seed=seed) as made:
+        made.begin()
+        told = Told(sent=timedelta(), ended=made.world.now(), tree=plan.tree, status=200, mark=_mark(made=made))
+        doer = Doer(fleet=made, seed=seed)
+        doer.told.append(told)
+        crowd = Crowd(host=made.outside, plan=plan, seed=seed, patience=2)
+        began = made.world.now()
+        load_task = eventlet.spawn(
+            crowd.run, lasts=LEAD_IN + lasts + QUIET, since=timedelta(), rate=doer.wanted, swing=doer
+        )
+        tasks = []
+        for fault in faults:
+            eventlet.sleep(max((began + LEAD_IN + fault.at - made.world.now()).total_seconds(), 0))
+            tasks.append(eventlet.spawn(doer.run, fault=fault))
+        for task in tasks:
+            task.wait()
+        healed = max(doer.mended, began + LEAD_IN)
+        load_task.wait()
+        kept = _kept(made=made)
+        truth = Truth(
+            seen=crowd.seen,
+            rows=rows_of(engines=made.engines),
+            told=doer.told,
+            leaving=doer.leaving,
+            once_lanes={lane for lane, values in plan.tree["lanes"].items() if values.get("run") == "once"},
+            extra_percent=10,
+            perSecond=plan.perSecond,
+            healed=healed,
+            lasted=began + LEAD_IN + lasts + QUIET,
+            kept=kept,
+        )
+        wrong = checks.check(truth=truth)
+        failed = [f"{at} {name} {text}" for at, name, note, text in made.world.logged if note is Note.TASK_FAILED]
+        if failed or made.world.crashes:
+            wrong["no_task_fails"] = [*failed, *made.world.crashes]
+        outcomes: dict[str, int] = {}
+        for seen in crowd.seen:
+            outcomes[seen.kind] = outcomes.get(seen.kind, 0) + 1
+        events = [f"{at} {name} [{note.number}] {text}" for at, name, note, text in made.world.logged]
+    return Verdict(
+        fleet=plan.name,
+        seed=seed,
+        faults=faults,
+        wrong=wrong,
+        outcomes=dict(sorted(outcomes.items())),
+        sent=len(crowd.seen),
+        recoveredMs=checks.recovery(truth=truth) // ms(1),
+        events=events,
+    )
+
+
+def _mark(*, made: SimFleet) -> int:
+    return made.ask_any(method="GET", path="/config")[1]["mark"]
+
+
+def _kept(*, made: SimFleet) -> list[dict[str, Any]] | None:
+    """The configurations that the control plane holds at the end."""
+    end = made.world.now() + READ_LIMIT
+    while made.world.now() < end:
+        status, told = made.ask_any(method="GET", path="/history")
+        if status == 200:
+            rows = [made.ask_any(method="GET", path=f"/config/{row['mark']}") for row in told["configs"]]
+            if all(status == 200 for status, _ in rows):
+                return [{"mark": row["mark"], "tree": row["tree"]} for _, row in rows]
+        eventlet.sleep(0.5)
+    return None
+
+
+def run_named(*, fleet_file: str, seed: int, **changes: Any) -> Verdict:
+    return run(plan=load(path=fleet_file), seed=seed, **changes)
+
+
+def shorten(*, fleet_file: str, verdict: Verdict, **changes: Any) -> list[int]:
+    """The numbers of fewer faults that still make one of the same checkers fail."""
+    kept = [fault.number for fault in verdict.faults]
+    for number in list(kept):
+        fewer = [other for other in kept if other != number]
+        again = run_named(fleet_file=fleet_file, seed=verdict.seed, only=fewer, **changes)
+        if set(again.wrong) & set(verdict.wrong):
+            kept = fewer
+    return kept
--- /dev/null
+++ b/dockmux/omen/faults.py
@@ -0,0 +1,418 @@
+"""The brief's failures, as events drawn from a seed and carried out on a simulated fleet."""
+
+import copy
+import dataclasses
+import random
+from datetime import timedelta
+from typing import Any
+
+import eventlet
+
+from dockmux.accord.span import ms
+from dockmux.omen.fleet import SimFleet
+from dockmux.omen.truth import Told
+
+SECOND = timedelta(seconds=1)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One failure: what, to whom, from when, for how long. Invariant: `number` seeds its own choices, so that
+    leaving others out does not change it."""
+
+    at: timedelta
+    lasts: timedelta
+    kind: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.at.total_seconds():7.2f}s {self.kind} for {self.lasts.total_seconds():.2f}s (#{self.number})"
+
+
+# Each kind and the longest it lasts, in seconds.
+KINDS = {
+    "crowd": 4,
+    "swing_to_prompts": 5,
+    "swing_to_answers": 5,
+    "engine_crash": 4,
+    "engine_dark": 4,
+    "engines_rolled": 8,
+    "address_reused": 8,
+    "edge_killed": 4,
+    "many_edges_killed": 4,
+    "all_killed": 3,
+    "edge_frozen": 6,
+    "core_frozen": 6,
+    "engine_frozen": 4,
+    "core_killed": 5,
+    "core_replaced": 5,
+    "disk_lost_after_ack": 4,
+    "disk_slow": 5,
+    "disk_full": 5,
+    "disk_stalled": 5,
+    "wall_jumped": 1,
+    "core_split": 6,
+    "core_cut_one_way": 6,
+    "cores_cut_off": 5,
+    "machine_isolated": 5,
+    "links_slow": 5,
+    "memory_lapsed": 1,
+    "operators_race": 1,
+    "configurations_burst": 3,
+    "seeds_swapped": 3,
+    "packets_lost": 5,
+}
+
+
+# These wait for the cores to stand together again; the machines are back before that.
+CORE_KINDS = {
+    "core_frozen", "core_killed", "core_replaced", "disk_lost_after_ack", "disk_full", "disk_stalled", "core_split",
+    "core_cut_one_way",
+}  # fmt: skip
+
+
+def draw(*, seed: int, lasts: timedelta, count: int, kinds: list[str] | None = None) -> list[Fault]:
+    """A schedule: faults spread over the time, some of them at once."""
+    chance = random.Random(f"faults-{seed}")
+    names = kinds or sorted(KINDS)
+    made = []
+    for number in range(count):
+        kind = chance.choice(names)
+        at = ms(chance.randrange(int(lasts / ms(1))))
+        longest = KINDS[kind]
+        made.append(Fault(at=at, lasts=ms(chance.randrange(300, longest * 1000 + 300)), kind=kind, number=number))
+    return sorted(made, key=lambda fault: fault.at)
+
+
+class Doer:
+    """Carries faults out. Invariants: what one fault breaks it mends itself when its time is over; at most one
+    core machine is down, wiped or ailing at a time by faults of that sort, as the brief's users must survive."""
+
+    def __init__(self, *, fleet: SimFleet, seed: int) -> None:
+        self.fleet = fleet
+        self.world = fleet.world
+        self.seed = seed
+        self.told: list[Told] = []
+        self.leaving: list[tuple[timedelta, str]] = []
+        self.rate = 1.0
+        self.swing = ""
+        self.core_down = False
+        self.replaced = 0
+        self.foreign: list[Any] = []
+        self.mended = timedelta()
+
+    def run(self, *, fault: Fault) -> None:
+        chance = random.Random(f"{self.seed}-{fault.number}-{fault.kind}")
+        getattr(self, "_" + fault.kind)(chance=chance, lasts=fault.lasts)
+        if fault.kind not in CORE_KINDS:
+            self._mended()
+
+    def wanted(self, _: timedelta) -> float:
+        """The rate of arrivals now."""
+        return self.fleet.plan.perSecond * self.rate
+
+    def _mended(self) -> None:
+        """The machines are back: from here on the time to recover counts."""
+        self.mended = self.world.now()
+
+    def _sleep(self, span: timedelta) -> None:
+        eventlet.sleep(span.total_seconds())
+
+    # Load.
+
+    def _crowd(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self.rate = chance.uniform(2, 4)
+        self._sleep(lasts)
+        self.rate = 1.0
+
+    def _swing_to_prompts(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._swing(to="prompts", lasts=lasts)
+
+    def _swing_to_answers(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._swing(to="answers", lasts=lasts)
+
+    def _swing(self, *, to: str, lasts: timedelta) -> None:
+        self.swing = to
+        self._sleep(lasts)
+        self.swing = ""
+
+    # Engines.
+
+    def _engine(self, *, chance: random.Random) -> dict[str, Any]:
+        return chance.choice(self.fleet.plan.engines)
+
+    def _restart_engine(self, *, engine: dict[str, Any]) -> None:
+        if not self.fleet.hosts[engine["engine"]].alive:
+            self.fleet.start_engine(engine=engine)
+
+    def _engine_crash(self, *, chance: random.Random, lasts: timedelta) -> None:
+        engine = self._engine(chance=chance)
+        self.fleet.hosts[engine["engine"]].kill()
+        self._sleep(lasts)
+        self._restart_engine(engine=engine)
+
+    def _engine_dark(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._isolate(host=self.fleet.hosts[self._engine(chance=chance)["engine"]], lasts=lasts)
+
+    def _engine_frozen(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._freeze(host=self.fleet.hosts[self._engine(chance=chance)["engine"]], lasts=lasts)
+
+    def _leave(self, *, engine: dict[str, Any]) -> None:
+        made = self.fleet.current_engines[engine["engine"]]
+        if made.host.alive:
+            made.leaving = True
+            made.note(what="leaving")
+            self.leaving.append((self.world.now(), made.incarnation))
+
+    def _engines_rolled(self, *, chance: random.Random, lasts: timedelta) -> None:
+        """Replaced one by one: told to leave, ended a while later, started anew."""
+        for engine in chance.sample(self.fleet.plan.engines, 3):
+            self._leave(engine=engine)
+            self._sleep(lasts / 6)
+            self.fleet.hosts[engine["engine"]].kill()
+            self._sleep(lasts / 6)
+            self._restart_engine(engine=engine)
+
+    def _address_reused(self, *, chance: random.Random, lasts: timedelta) -> None:
+        """An engine ends without a word, and another service's takes its address before the list says so."""
+        engine = self._engine(chance=chance)
+        self.fleet.hosts[engine["engine"]].kill()
+        other = {**engine, "engine": f"other-{len(self.foreign)}", "service": "other"}
+        self.fleet.start_engine(engine=other)
+        self.foreign.append(other)
+        self._sleep(lasts)
+        self.fleet.hosts[other["engine"]].kill()
+        self._sleep(ms(100))
+        self._restart_engine(engine=engine)
+
+    def _links_slow(self, *, chance: random.Random, lasts: timedelta) -> None:
+        ips = [engine["address"].partition(":")[0] for engine in self.fleet.plan.engines]
+        slow = {(a, b): ms(chance.randrange(50, 400)) for a in ips for b in ips if a != b}
+        self.world.slow.update(slow)
+        self._sleep(lasts)
+        for pair in slow:
+            self.world.slow.pop(pair, None)
+
+    def _memory_lapsed(self, *, chance: random.Random, lasts: timedelta) -> None:
+        for name in sorted(self.fleet.current_engines):
+            made = self.fleet.current_engines[name]
+            if made.host.alive:
+                made.lapse()
+
+    # Processes and machines.
+
+    def _kill_for(self, *, names: list[str], lasts: timedelta) -> None:
+        for name in names:
+            self.fleet.hosts[name].kill()
+        self._sleep(lasts)
+        for daemon in [*self.fleet.plan.cores, *self.fleet.plan.edges]:
+            if daemon["name"] in names and not self.fleet.hosts[daemon["name"]].alive:
+                start = self.fleet.start_core if daemon in self.fleet.plan.cores else self.fleet.start_edge
+                start(daemon=daemon)
+
+    def _edges(self) -> list[str]:
+        return [edge["name"] for edge in self.fleet.plan.edges]
+
+    def _cores(self) -> list[str]:
+        return [core["name"] for core in self.fleet.plan.cores]
+
+    def _edge_killed(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._kill_for(names=[chance.choice(self._edges())], lasts=lasts)
+
+    def _many_edges_killed(self, *, chance: random.Random, lasts: timedelta) -> None:
+        edges = self._edges()
+        self._kill_for(names=chance.sample(edges, len(edges) * 2 // 3), lasts=lasts)
+
+    def _all_killed(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._kill_for(names=[*self._cores(), *self._edges()], lasts=lasts)
+
+    def _freeze(self, *, host: Any, lasts: timedelta) -> None:
+        if not host.frozen and host.alive:
+            host.freeze()
+            self._sleep(lasts)
+            host.thaw()
+
+    def _edge_frozen(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._freeze(host=self.fleet.hosts[chance.choice(self._edges())], lasts=lasts)
+
+    def _core_frozen(self, *, chance: random.Random, lasts: timedelta) -> None:
+        name = chance.choice(self._cores())
+        if self._take_core():
+            self._freeze(host=self.fleet.hosts[name], lasts=lasts)
+            self._give_core_back()
+
+    def _take_core(self) -> bool:
+        if self.core_down:
+            return False
+        self.core_down = True
+        return True
+
+    def _give_core_back(self) -> None:
+        """Only once the core machines stand together again may the next of them fail."""
+        self._mended()
+        self._sleep(SECOND)
+        for _ in range(200):
+            if self._cores_whole():
+                break
+            self._sleep(ms(100))
+        self.core_down = False
+
+    def _cores_whole(self) -> bool:
+        daemons = [self.fleet.daemons.get(name) for name in self._cores()]
+        if not all(self.fleet.hosts[name].alive for name in self._cores()):
+            return False
+        councils = [getattr(daemon, "council", None) for daemon in daemons]
+        return all(c is not None and c.view is not None and len(c.view.chain) == len(councils) for c in councils)
+
+    def _core_killed(self, *, chance: random.Random, lasts: timedelta) -> None:
+        name = chance.choice(self._cores())
+        if self._take_core():
+            self._kill_for(names=[name], lasts=lasts)
+            self._give_core_back()
+
+    def _core_replaced(self, *, chance: random.Random, lasts: timedelta) -> None:
+        """A core machine is gone for good; an empty one comes at a new address, under its name."""
+        place = chance.randrange(len(self.fleet.plan.cores))
+        if not self._take_core():
+            return
+        core = self.fleet.plan.cores[place]
+        self.fleet.hosts[core["name"]].kill()
+        self._sleep(lasts)
+        self.replaced += 1
+        ip = core["address"].partition(":")[0].rsplit(".", 1)[0] + f".{200 + self.replaced}"
+        moved = {**core, "address": f"{ip}:7100", "http": f"{ip}:7200"}
+        self.fleet.plan.cores[place] = moved
+        self.fleet.start_core(daemon=moved)
+        self._give_core_back()
+
+    def _disk_lost_after_ack(self, *, chance: random.Random, lasts: timedelta) -> None:
+        """A change is acknowledged, and at once a core machine loses its disk."""
+        name = chance.choice(self._cores())
+        if not self._take_core():
+            return
+        self._put(chance=chance)
+        self.fleet.hosts[name].kill()
+        self.fleet.hosts[name].machine.disk.files.clear()
+        self._kill_for(names=[name], lasts=lasts)
+        self._give_core_back()
+
+    def _seeds_swapped(self, *, chance: random.Random, lasts: timedelta) -> None:
+        """The seed addresses point to other daemons from now on; those that start later read them."""
+        others = chance.sample(self.fleet.plan.edges, 3)
+        self.fleet.seeds = [edge["address"] for edge in others]
+        self._kill_for(names=[chance.choice(self._edges())], lasts=lasts)
+
+    # Disks.
+
+    def _disk_slow(self, *, chance: random.Random, lasts: timedelta) -> None:
+        disk = self.fleet.hosts[chance.choice(self._cores())].machine.disk
+        before, disk.delay = disk.delay, ms(chance.randrange(100, 800))
+        self._sleep(lasts)
+        disk.delay = ms(2) if before > ms(50) else before
+
+    def _disk_full(self, *, chance: random.Random, lasts: timedelta) -> None:
+        name = chance.choice(self._cores())
+        if not self._take_core():
+            return
+        disk = self.fleet.hosts[name].machine.disk
+        disk.limitBytes = sum(len(kept) for kept in disk.files.values()) + chance.randrange(300)
+        self._sleep(lasts)
+        disk.limitBytes = 1 << 40
+        self._give_core_back()
+
+    def _disk_stalled(self, *, chance: random.Random, lasts: timedelta) -> None:
+        name = chance.choice(self._cores())
+        if not self._take_core():
+            return
+        disk = self.fleet.hosts[name].machine.disk
+        disk.stalled = True
+        self._sleep(lasts)
+        disk.stalled = False
+        self._give_core_back()
+
+    # Clocks and network.
+
+    def _wall_jumped(self, *, chance: random.Random, lasts: timedelta) -> None:
+        name = chance.choice([*self._cores(), *self._edges()])
+        self.fleet.hosts[name].machine.wall_offset += SECOND * chance.choice((-1, 1)) * chance.uniform(1, 7200)
+
+    def _ips(self, *, daemons: list[dict[str, Any]]) -> list[str]:
+        return [daemon["address"].partition(":")[0] for daemon in daemons]
+
+    def _cut(self, *, pairs: set[tuple[str, str]], lasts: timedelta) -> None:
+        fresh = pairs - self.world.cuts
+        self.world.cuts |= fresh
+        self._sleep(lasts)
+        self.world.cuts -= fresh
+
+    def _core_split(self, *, chance: random.Random, lasts: timedelta) -> None:
+        ips = self._ips(daemons=self.fleet.plan.cores)
+        one = chance.choice(ips)
+        if self._take_core():
+            pairs = {(a, b) for a in ips for b in ips if a != b and one in (a, b)}
+            self._cut(pairs=pairs, lasts=lasts)
+            self._give_core_back()
+
+    def _core_cut_one_way(self, *, chance: random.Random, lasts: timedelta) -> None:
+        ips = self._ips(daemons=self.fleet.plan.cores)
+        one = chance.choice(ips)
+        if self._take_core():
+            self._cut(pairs={(one, other) for other in ips if other != one}, lasts=lasts)
+            self._give_core_back()
+
+    def _cores_cut_off(self, *, chance: random.Random, lasts: timedelta) -> None:
+        cores = self._ips(daemons=self.fleet.plan.cores)
+        edges = self._ips(daemons=self.fleet.plan.edges)
+        self._cut(pairs={(a, b) for a in cores for b in edges} | {(b, a) for a in cores for b in edges}, lasts=lasts)
+
+    def _isolate(self, *, host: Any, lasts: timedelta) -> None:
+        host.machine.isolated = True
+        self._sleep(lasts)
+        host.machine.isolated = False
+
+    def _machine_isolated(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self._isolate(host=self.fleet.hosts[chance.choice(self._edges())], lasts=lasts)
+
+    def _packets_lost(self, *, chance: random.Random, lasts: timedelta) -> None:
+        self.world.lossPercent = chance.uniform(5, 40)
+        self._sleep(lasts)
+        self.world.lossPercent = 0.0
+
+    # Operators.
+
+    def change(self, *, chance: random.Random) -> dict[str, Any]:
+        """A tree like the plan's, a little different, so that it can be told apart."""
+        tree = copy.deepcopy(self.fleet.plan.tree)
+        tree["defaults"]["horizonMs"] += chance.randrange(1, 900)
+        return tree
+
+    def _put(self, *, chance: random.Random, tree: dict[str, Any] | None = None, mark: int | None = None) -> None:
+        tree = tree or self.change(chance=chance)
+        core = chance.choice(self.fleet.plan.cores)["http"]
+        if mark is None:
+            status, told = self.fleet.ask(address=core, method="GET", path="/config")
+            if status != 200:
+                return
+            mark = told["mark"]
+        sent = self.world.now()
+        headers = {"If-Match": f'"{mark}"'}
+        status, told = self.fleet.ask(address=core, method="PUT", path="/config", fields=tree, headers=headers)
+        taken = told.get("mark", 0) if status == 200 else 0
+        self.told.append(Told(sent=sent, ended=self.world.now(), tree=tree, status=status, mark=taken))
+
+    def _operators_race(self, *, chance: random.Random, lasts: timedelta) -> None:
+        """Two send at once from the same mark; one of them sends a wrong tree besides."""
+        status, told = self.fleet.ask_any(method="GET", path="/config")
+        if status != 200:
+            return
+        first = eventlet.spawn(self._put, chance=chance, mark=told["mark"])
+        second = eventlet.spawn(self._put, chance=chance, mark=told["mark"])
+        wrong = {**self.change(chance=chance), "lanes": {"subjects": {"service": "nowhere"}}}
+        self._put(chance=chance, tree=wrong, mark=told["mark"])
+        first.wait()
+        second.wait()
+
+    def _configurations_burst(self, *, chance: random.Random, lasts: timedelta) -> None:
+        for _ in range(6):
+            self._put(chance=chance)
+            self._sleep(lasts / 6)
--- a/dockmux/omen/fleet.py
+++ b/dockmux/omen/fleet.py
@@ -34,6 +34,7 @@
         # The recorders' clocks are true: those of the user agents' and operators' machine, and of the engines.
         world.machine(ip="127.0.99.1", site="outside", true_clock=True)
         self.outside = SimHost(world=world, name="outside", machine=world.machine(ip="127.0.99.1", site="outside"))
+        self.seeds: list[str] = []
         self.listed = [dict(row) for row in plan.engine_list()["engines"]]
 
     def start_core(self, *, daemon: dict[str, Any]) -> None:
@@ -44,6 +45,7 @@
 
     def _start_daemon(self, *, daemon: dict[str, Any], kind: Any, data_folder: str) -> None:
         fields = self.plan.daemon_settings(daemon=daemon, data_folder=data_folder)
+        fields |= {"seeds": self.seeds} if self.seeds else {}
         checked = settings.check(fields=fields)
 
         def run(host: SimHost) -> None:
--- /dev/null
+++ b/dockmux/omen/program.py
@@ -0,0 +1,77 @@
+"""The simulator's program: one day to look at, or many seeds."""
+
+import argparse
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from datetime import timedelta
+
+from dockmux.omen.day import Verdict, run_named, shorten
+from dockmux.omen.faults import KINDS
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        prog="omen", description="Runs simulated fleets under the brief's failures and checks the twelve rules."
+    )
+    parser.add_argument("fleet", nargs="+", help="fleet files, as fleets/katalogwerk.yaml")
+    parser.add_argument("--seeds", default="1-8", help="seeds, as 7 or 1-100 (default 1-8)")
+    parser.add_argument("--seconds", type=float, default=25, help="how long faults begin (default 25)")
+    parser.add_argument("--count", type=int, default=6, help="faults a day (default 6)")
+    parser.add_argument("--kinds", default="", help=f"only these, with commas, of: {', '.join(KINDS)}")
+    parser.add_argument("--only", default="", help="only the faults of these numbers, with commas")
+    parser.add_argument("--events", action="store_true", help="print every logged event (one seed)")
+    parser.add_argument("--shorten", action="store_true", help="look for fewer faults that still fail")
+    parser.add_argument("--jobs", type=int, default=8, help="processes at a time (default 8)")
+    parsed = parser.parse_args(argv)
+    low, _, high = parsed.seeds.partition("-")
+    seeds = range(int(low), int(high or low) + 1)
+    changes = {
+        "lasts": timedelta(seconds=parsed.seconds),
+        "count": parsed.count,
+        "kinds": parsed.kinds.split(",") if parsed.kinds else None,
+        "only": [int(text) for text in parsed.only.split(",")] if parsed.only else None,
+    }
+    jobs = [(fleet, seed) for seed in seeds for fleet in parsed.fleet]
+    failed = 0
+    worst = (0, "")
+    # A process a day: virtual time is a whole process's, and so is what a day leaves behind.
+    with ProcessPoolExecutor(max_workers=parsed.jobs, max_tasks_per_child=1) as pool:
+        futures = [pool.submit(run_named, fleet_file=fleet, seed=seed, **changes) for fleet, seed in jobs]
+        for (fleet, seed), future in zip(jobs, futures, strict=True):
+            verdict = future.result()
+            show(verdict=verdict)
+            worst = max(worst, (verdict.recoveredMs, f"{fleet} seed {seed}"))
+            if parsed.events:
+                print("\n".join(verdict.events))
+            if verdict.wrong:
+                failed += 1
+                only = [fault.number for fault in verdict.faults]
+                if parsed.shorten:
+                    only = pool.submit(shorten, fleet_file=fleet, verdict=verdict, **changes).result()
+                    changes["only"] = None
+                flags = f"--seconds {parsed.seconds} --count {parsed.count}"
+                flags += f" --kinds {parsed.kinds}" if parsed.kinds else ""
+                numbers = ",".join(str(number) for number in only)
+                print(f"  replay: omen {fleet} --seeds {seed} {flags} --only {numbers} --events")
+                for fault in verdict.faults:
+                    if fault.number in only:
+                        print(f"    {fault}")
+            sys.stdout.flush()
+    print(f"{len(jobs)} days, {failed} failed, slowest recovery {worst[0]} ms ({worst[1]})")
+    return 1 if failed else 0
+
+
+def show(*, verdict: Verdict) -> None:
+    state = "FAILED" if verdict.wrong else "ok"
+    print(
+        f"{verdict.fleet} seed {verdict.seed}: {state}, sent {verdict.sent}, {verdict.outcomes}, "
+        f"recovered in {verdict.recoveredMs} ms, faults {', '.join(fault.kind for fault in verdict.faults)}"
+    )
+    for name, wrong in verdict.wrong.items():
+        print(f"  {name}: {len(wrong)}")
+        for text in wrong[:4]:
+            print(f"    {text}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -51,7 +51,7 @@
 
     Invariants:
     - `entries` in the vault have no gap; each member's are a prefix of its predecessor's;
-    - `state` is folded up to the last entry known to be acknowledged by a tail under permit;
+    - `state` stays the same object and is folded up to the last entry known to be acknowledged by a tail under permit;
     - `planned` is folded up to the last synced entry, and only the head uses it, to judge the next change;
     - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
       entry is held by every member, and the tail before may have acknowledged it;
@@ -459,7 +459,7 @@
                 state.restore(fields=reply.snapshot)
                 self.vault.entries = []
                 self.vault.reset(state=state)
-                self.state = state.copy()
+                self.state.__dict__.update(state.__dict__)
                 self._note_learned()
                 self.needs_snapshot = False
                 self.host.log(Note.JOINED, mark=state.mark)
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -31,12 +31,14 @@
 from dockmux.accord.web import Visit, serve
 from dockmux.accord.wire import Caller, Desk
 from dockmux.pact.chain import Chain
+from dockmux.pact.conductor import Conductor
 from dockmux.pact.council import Council
 from dockmux.pact.tree import explain, judge
 from dockmux.pact.vault import Vault
 from dockmux.rumour.spread import Spread
 from dockmux.tempo.gossip import Gossip
 from dockmux.tempo.peers import Peers
+from dockmux.verge.links import Links
 
 JOIN_PATIENCE = timedelta(seconds=3)
 HOLD_LIMIT = timedelta(seconds=1)
@@ -67,6 +69,7 @@
             host.listen(address=settings.address) as listener,
             host.listen(address=settings.http) as web_listener,
             Caller(host=host) as caller,
+            Links(host=host) as links,
             Crew(host=host) as crew,
         ):
             self.crew = crew
@@ -80,6 +83,7 @@
             )  # fmt: skip
             council, chain = self.council, self.chain
             self.spread = Spread(host=host, settings=settings, gossip=self.gossip, crew=crew, follower=chain.state)
+            conductor = Conductor(host=host, council=council, links=links, state=chain.state, table=self.spread.table)
             desk = Desk(
                 host=host,
                 listener=listener,
@@ -99,7 +103,7 @@
             for task in (
                 desk.run, self.gossip.run_receiving, self.gossip.run_asking, council.run_grants,
                 council.run_mending, chain.run_head, chain.run_confirming, chain.run_joining, chain.run_upkeep,
-                self.spread.run, self.run_duties,
+                self.spread.run, self.run_duties, conductor.run,
             ):  # fmt: skip
                 crew.keep(task=task)
             crew.start(task=council.run_found)
--- a/dockmux/surge/crowd.py
+++ b/dockmux/surge/crowd.py
@@ -1,5 +1,6 @@
 """Open-loop load: arrivals come when they come, whatever became of those before."""
 
+import dataclasses
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -15,18 +16,25 @@
 
 LETTERS = "abcdefghijklmnopqrstuvwxyz     "
 
+# With these there is nothing more to ask for.
+FINAL = {"answered", "unknown", "bad_identity"}
+
 
 class Crowd:
-    """Invariant: `seen` has a row for every arrival, in the order of the intended times."""
+    """Invariants: `seen` has a row for every attempt; a user agent that repeats its request, up to `patience`
+    times, does so under the same identity, after the time that it was told, and at another edge."""
 
-    def __init__(self, *, host: Host, plan: Plan, seed: int, label: str = "u") -> None:
+    def __init__(self, *, host: Host, plan: Plan, seed: int, label: str = "u", patience: int = 0) -> None:
         self.host = host
         self.plan = plan
         self.random = random.Random(seed)
         self.label = f"{label}{seed}"
+        self.patience = patience
         self.seen: list[Seen] = []
         self.asks: list[Ask] = []
         self.number = 0
+        tree = plan.tree
+        self.runs = {lane: resolve(tree=tree, lane=lane, site="")["run"] for lane in tree["lanes"]}
         self.prefixes: dict[tuple[str, int], str] = {}
 
     def _text(self, *, sizeBytes: int) -> str:
@@ -38,10 +46,17 @@
             self.prefixes[place] = self._text(sizeBytes=kind["prefixBytes"])
         return self.prefixes[place]
 
-    def ask(self, *, kind: dict[str, Any] | None = None) -> Ask:
-        """The next request of the mix, or of one kind of it."""
+    def _kind(self, *, swing: str) -> dict[str, Any]:
+        """One of the mix; under a swing, of the heaviest to read or to write."""
         mix = self.plan.mix
-        kind = kind or self.random.choices(mix, weights=[k["weight"] for k in mix])[0]
+        if swing == "prompts":
+            return max(mix, key=lambda kind: kind["promptBytes"] + kind["prefixBytes"])
+        if swing == "answers":
+            return max(mix, key=lambda kind: kind["pieces"][1])
+        return self.random.choices(mix, weights=[kind["weight"] for kind in mix])[0]
+
+    def ask(self, *, kind: dict[str, Any]) -> Ask:
+        """The next request, of one kind of the mix."""
         edge = self.random.choice(self.plan.edges)
         self.number += 1
         identity = f"{self.label}-{self.number}"
@@ -60,7 +75,27 @@
             horizon=ms(values["horizonMs"]), edge=edge["http"],
         )  # fmt: skip
 
-    def run(self, *, lasts: timedelta, since: timedelta, rate: Callable[[timedelta], float] | None = None) -> None:
+    def _attempts(self, *, ask: Ask, seen: Seen, since: timedelta, resumable: bool) -> None:
+        """One user agent: asks, and asks again when told to come back or left without an outcome."""
+        send(host=self.host, ask=ask, seen=seen, since=since)
+        for _ in range(self.patience):
+            if seen.kind in FINAL:
+                return
+            start = seen.count if resumable and seen.kind in ("cut", "failed") else 0
+            self.host.sleep(wait=max(ms(seen.retryMs), ms(200)) * self.random.uniform(1, 1.5))
+            ask = dataclasses.replace(ask, edge=self.random.choice(self.plan.edges)["http"])
+            seen = Seen(lane=ask.lane, identity=ask.identity, edge=ask.edge, intended=self.host.elapsed() - since)
+            self.seen.append(seen)
+            send(host=self.host, ask=ask, seen=seen, since=since, start=start)
+
+    def run(
+        self,
+        *,
+        lasts: timedelta,
+        since: timedelta,
+        rate: Callable[[timedelta], float] | None = None,
+        swing: Any = None,
+    ) -> None:
         """Sends until the time is over, then waits until every stream has ended."""
         with Crew(host=self.host) as crew:
             tasks = []
@@ -71,11 +106,12 @@
                 due += timedelta(seconds=self.random.expovariate(perSecond))
                 if due >= end:
                     break
-                ask = self.ask()
+                ask = self.ask(kind=self._kind(swing=getattr(swing, "swing", "")))
                 seen = Seen(lane=ask.lane, identity=ask.identity, edge=ask.edge, intended=due)
                 self.seen.append(seen)
                 self.asks.append(ask)
                 self.host.sleep(wait=since + due - self.host.elapsed())
-                tasks.append(crew.start(task=send, host=self.host, ask=ask, seen=seen, since=since))
+                resumable = self.runs[ask.lane] == "resumable"
+                tasks.append(crew.start(task=self._attempts, ask=ask, seen=seen, since=since, resumable=resumable))
             for task in tasks:
                 task.wait()
