Take over a decided view even when the disk cannot note it

Cause: learning a view, promising and accepting let the disk's error out of the task that met it, so a core with a full disk stayed in the old view and its loops were begun again and again. Excluded: the chain's own appends, which had answered the error already; the simulated disk, whose error is the one a real one gives (ENOSPC). A vote that cannot be synced is not granted; a decided view is used from memory. Conclusion: voting needs the disk, following does not.

--- a/dockmux/omen/day.py
+++ b/dockmux/omen/day.py
@@ -129,3 +129,8 @@
         if set(again.wrong) & set(verdict.wrong):
             kept = fewer
     return kept
+
+
+def test_a_core_with_a_full_disk_still_takes_over_views():
+    verdict = run(plan=load(path="fleets/mini.yaml"), seed=3, lasts=4 * SECOND, count=2, kinds=["disk_full"])
+    assert verdict.wrong == {}
--- a/dockmux/omen/faults.py
+++ b/dockmux/omen/faults.py
@@ -166,7 +166,7 @@
 
     def _engines_rolled(self, *, chance: random.Random, lasts: timedelta) -> None:
         """Replaced one by one: told to leave, ended a while later, started anew."""
-        for engine in chance.sample(self.fleet.plan.engines, 3):
+        for engine in chance.sample(self.fleet.plan.engines, min(3, len(self.fleet.plan.engines))):
             self._leave(engine=engine)
             self._sleep(lasts / 6)
             self.fleet.hosts[engine["engine"]].kill()
@@ -298,7 +298,7 @@
 
     def _seeds_swapped(self, *, chance: random.Random, lasts: timedelta) -> None:
         """The seed addresses point to other daemons from now on; those that start later read them."""
-        others = chance.sample(self.fleet.plan.edges, 3)
+        others = chance.sample(self.fleet.plan.edges, min(3, len(self.fleet.plan.edges)))
         self.fleet.seeds = [edge["address"] for edge in others]
         self._kill_for(names=[chance.choice(self._edges())], lasts=lasts)
 
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -206,9 +206,7 @@
             self.vault.append(entries=entries)
             self.council.ailing = False
         except OSError as error:
-            if not self.council.ailing:
-                self.host.log(Note.DISK_FAILED, error=error)
-            self.council.ailing = True
+            self.council.note_disk_failure(error=error)
             raise
         finally:
             self.disk_busy_since = None
--- a/dockmux/pact/council.py
+++ b/dockmux/pact/council.py
@@ -161,13 +161,32 @@
         with self.extending, self.voting:
             if self.view is not None and view.number <= self.view.number:
                 return
-            self.vault.vote(view=view)
+            try:
+                self.vault.vote(view=view)
+            except OSError as error:
+                # It was decided, whether or not this disk can note it; a restart learns it anew.
+                self.vault.view = view
+                self.note_disk_failure(error=error)
             self.grants.clear()
             self.candidates.clear()
             self.adopted_at = self.host.elapsed()
             self.acts_from = self.adopted_at + self.permit * DRIFT_MARGIN
         self.host.log(Note.VIEW_ADOPTED, number=view.number, chain=",".join(view.chain), voters=",".join(view.voters))
 
+    def note_disk_failure(self, *, error: OSError) -> None:
+        """This member is to leave the chain until its disk works again."""
+        if not self.ailing:
+            self.host.log(Note.DISK_FAILED, error=error)
+        self.ailing = True
+
+    def _sync_vote(self, **fields: Any) -> bool:
+        try:
+            self.vault.vote(**fields)
+        except OSError as error:
+            self.note_disk_failure(error=error)
+            return False
+        return True
+
     def on_view_news(self, *, ask: ViewNews) -> VoteReply:
         self.learn(view=ask.view)
         return VoteReply(granted=True, disk=self.me, view=self.view)
@@ -192,7 +211,8 @@
             promised = self._promised(number=ask.number)
             if (ask.ballot, ask.proposer) <= promised:
                 return VoteReply(granted=False, disk=self.me, ballot=promised[0])
-            self.vault.vote(promised=codec.to_fields(message=ask))
+            if not self._sync_vote(promised=codec.to_fields(message=ask)):
+                return VoteReply(granted=False, disk=self.me)
             accepted = self.vault.accepted
             if accepted is None or accepted["number"] != ask.number:
                 return VoteReply(granted=True, disk=self.me)
@@ -217,7 +237,7 @@
                 return VoteReply(granted=False, disk=self.me, view=self.view)
             if (ask.ballot, ask.proposer) < self._promised(number=number):
                 return VoteReply(granted=False, disk=self.me, ballot=self._promised(number=number)[0])
-            self.vault.vote(
+            synced = self._sync_vote(
                 promised={"number": number, "ballot": ask.ballot, "proposer": ask.proposer},
                 accepted={
                     "number": number,
@@ -226,7 +246,7 @@
                     "view": codec.to_fields(message=ask.view),
                 },
             )
-            return VoteReply(granted=True, disk=self.me)
+            return VoteReply(granted=synced, disk=self.me)
 
     def _ask_voters(self, *, ask: Any, voters: list[str], answer: Any) -> list[VoteReply]:
         """Asks all voters at once; gives the replies that came in time."""
@@ -318,8 +338,7 @@
                 return VoteReply(granted=self.vault.founding == ask.view, disk=self.me)
             if ask.view.voters != self._known_founders() or len(ask.view.voters) != self.settings.cores:
                 return VoteReply(granted=False, disk=self.me)
-            self.vault.vote(founding=ask.view)
-            return VoteReply(granted=True, disk=self.me)
+            return VoteReply(granted=self._sync_vote(founding=ask.view), disk=self.me)
 
     def _ask_for_view(self) -> None:
         for card in self.cores():
--- a/dockmux/pact/vault.py
+++ b/dockmux/pact/vault.py
@@ -69,7 +69,11 @@
         self.votes.append(records=[record])
         self._recall(record=record)
         if self.votes.sizeBytes > max(REWRITE_FROM_BYTES // 16, 4 * self.votes.rewrittenBytes):
-            self._rewrite_votes()
+            try:
+                self._rewrite_votes()
+            except OSError as error:
+                # The vote itself is synced; the long file is tried again with the next one.
+                self.host.log(Note.DISK_FAILED, error=error)
 
     def _rewrite_votes(self) -> None:
         record: dict[str, Any] = {"disk": self.disk, "promised": self.promised}
