Let a fleet that was cut in two for longer than peers live grow together again

Cause: seeds were asked only while no peer was live. Cores and edges that were cut from each other for longer than the silence (5 s) forgot each other, still had peers on their own side, and never asked again. Excluded: the cut not healing (streams opened across it at once); the permits (the cores kept theirs). Each tick now also greets one seed or one peer lost within ten minutes. Conclusion: 'seeds are first contact only' holds for the clock's exchanges; finding lost peers needs more.

--- a/dockmux/omen/day.py
+++ b/dockmux/omen/day.py
@@ -134,3 +134,9 @@
 def test_a_core_with_a_full_disk_still_takes_over_views():
     verdict = run(plan=load(path="fleets/mini.yaml"), seed=3, lasts=4 * SECOND, count=2, kinds=["disk_full"])
     assert verdict.wrong == {}
+
+
+def test_a_fleet_that_was_cut_in_two_for_longer_than_peers_are_remembered_grows_together():
+    kinds = ["cores_cut_off"]
+    verdict = run(plan=load(path="fleets/mini.yaml"), seed=1, lasts=6 * SECOND, count=2, kinds=kinds, only=[0])
+    assert verdict.wrong == {}
--- a/dockmux/omen/faults.py
+++ b/dockmux/omen/faults.py
@@ -142,7 +142,8 @@
         return chance.choice(self.fleet.plan.engines)
 
     def _restart_engine(self, *, engine: dict[str, Any]) -> None:
-        if not self.fleet.hosts[engine["engine"]].alive:
+        ip, _, port = engine["address"].partition(":")
+        if not self.fleet.hosts[engine["engine"]].alive and (ip, int(port)) not in self.world.listeners:
             self.fleet.start_engine(engine=engine)
 
     def _engine_crash(self, *, chance: random.Random, lasts: timedelta) -> None:
@@ -176,6 +177,8 @@
     def _address_reused(self, *, chance: random.Random, lasts: timedelta) -> None:
         """An engine ends without a word, and another service's takes its address before the list says so."""
         engine = self._engine(chance=chance)
+        if not self.fleet.hosts[engine["engine"]].alive:
+            return
         self.fleet.hosts[engine["engine"]].kill()
         other = {**engine, "engine": f"other-{len(self.foreign)}", "service": "other"}
         self.fleet.start_engine(engine=other)
--- a/dockmux/rumour/spread.py
+++ b/dockmux/rumour/spread.py
@@ -81,7 +81,9 @@
         live = peers.live()
         summary = UsageSummary(sender=peers.card, engines=self.table.summary(), peers=peers.few()[:3])
         targets = [card.address for card in live] or peers.contacts()
-        for address in self.host.random.sample(targets, min(SPREAD_TO, len(targets))):
+        chosen = self.host.random.sample(targets, min(SPREAD_TO, len(targets)))
+        probe = peers.probe()
+        for address in [*chosen, probe] if probe and probe not in chosen else chosen:
             self.gossip.send(address=address, message=summary)
 
     def _note_changes(self) -> None:
--- a/dockmux/tempo/peers.py
+++ b/dockmux/tempo/peers.py
@@ -1,6 +1,7 @@
 """The list of live peers that a daemon makes for itself from seeds and replies."""
 
 import dataclasses
+import random
 from datetime import timedelta
 
 from dockmux.accord.host import Host
@@ -9,12 +10,13 @@
 from dockmux.accord.types import PeerCard
 
 SHARE_COUNT = 6
+LOST_KEPT = timedelta(minutes=10)
 
 
 class Peers:
     """Invariants: a card is keyed by its address; `heard` is when its daemon last gave a sign of life, as
     this host's clock counts, and a card is never made younger by being passed on; this daemon itself is not
-    in the table."""
+    in the table; `lost` holds addresses that fell silent, with when, none of them live."""
 
     def __init__(self, *, host: Host, settings: Settings, card: PeerCard) -> None:
         self.host = host
@@ -22,6 +24,7 @@
         self.card = card
         self.cards: dict[str, PeerCard] = {}
         self.heard: dict[str, timedelta] = {}
+        self.lost: dict[str, timedelta] = {}
 
     def me(self) -> PeerCard:
         return self.card
@@ -37,12 +40,14 @@
         if known is None or heard > known:
             self.cards[card.address] = card
             self.heard[card.address] = heard
+            self.lost.pop(card.address, None)
 
     def live(self) -> list[PeerCard]:
         """The cards of peers that have not been silent, in a stable order."""
         limit = self.host.elapsed() - ms(self.settings.peerSilenceMs)
         for address in [a for a, heard in self.heard.items() if heard < limit]:
             del self.heard[address], self.cards[address]
+            self.lost[address] = self.host.elapsed()
         now = self.host.elapsed()
         return [dataclasses.replace(self.cards[a], ageMs=to_ms(now - self.heard[a])) for a in sorted(self.cards)]
 
@@ -50,6 +55,15 @@
         live = self.live()
         return self.host.random.sample(live, min(SHARE_COUNT, len(live)))
 
+    def probe(self) -> str | None:
+        """One address that is not live and yet may answer: a seed, or a peer lost a while ago. Without it a
+        fleet that was cut in two for longer than the silence would stay two."""
+        limit = self.host.elapsed() - LOST_KEPT
+        self.lost = {address: at for address, at in self.lost.items() if at > limit}
+        seeds = [s for s in self.settings.seeds if s != self.card.address and s not in self.cards]
+        absent = sorted({*self.lost, *seeds})
+        return self.host.random.choice(absent) if absent else None
+
     def contacts(self) -> list[str]:
         """Where to turn: live peers, or the seeds while there are none."""
         addresses = [card.address for card in self.live()]
@@ -60,6 +74,7 @@
     from dockmux.tempo.clock import _Still
 
     host = _Still()
+    host.random = random.Random(1)
     settings = Settings(
         name="a",
         site="s",
@@ -80,3 +95,10 @@
     host.time += ms(1001)
     peers.hear(card=dataclasses.replace(other, ageMs=5001))
     assert peers.live() == []
+    assert {peers.probe() for _ in range(40)} == {"127.0.0.1:3", "127.0.0.1:9"}
+    peers.hear(card=other)
+    assert {peers.probe() for _ in range(40)} == {"127.0.0.1:9"}
+    host.time += ms(6000)
+    assert peers.live() == []
+    host.time += LOST_KEPT
+    assert {peers.probe() for _ in range(40)} == {"127.0.0.1:9"}
