Count extra sends by attempt, so that one does not taint a user agent's later ones

Cause: the checker held every leg after an extra one to be extra as well when the user agent asked again.

--- a/dockmux/omen/checks.py
+++ b/dockmux/omen/checks.py
@@ -155,13 +155,13 @@
     asked: dict[str, list[timedelta]] = defaultdict(list)
     for seen in truth.seen:
         asked[f"{seen.lane}/{seen.identity}"].append(seen.intended)
-    ran: Counter[tuple[str, str]] = Counter()
+    ran: set[tuple[str, str, int]] = set()
     sends: dict[str, list[tuple[timedelta, bool]]] = defaultdict(list)
     for row in truth.legs():
-        key = (row.fields["request"], row.what)
-        ran[key] += 1
-        attempts = max(1, sum(1 for at in asked[row.fields["request"]] if at <= row.at))
-        sends[row.service].append((row.at, ran[key] > attempts))
+        attempt = sum(1 for at in asked[row.fields["request"]] if at <= row.at)
+        key = (row.fields["request"], row.what, attempt)
+        sends[row.service].append((row.at, key in ran))
+        ran.add(key)
     wrong = []
     for service, rows in sends.items():
         worst = 0.0
