--- /dev/null
+++ b/dockmux/stage/drill.py
@@ -0,0 +1,188 @@
+"""The main faults on real processes, with load running, and the same checkers over what was seen."""
+
+import dataclasses
+import json
+import shutil
+import signal
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord.crew import Crew
+from dockmux.accord.host import Host
+from dockmux.accord.span import ms
+from dockmux.omen import checks
+from dockmux.omen.truth import Row, Told, Truth
+from dockmux.stage.fleet import Fleet
+from dockmux.stage.plan import Plan
+from dockmux.surge.crowd import Crowd
+from dockmux.surge.report import summarize
+
+SECOND = timedelta(seconds=1)
+QUIET = 14 * SECOND
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drilled:
+    """What a drill came to."""
+
+    wrong: dict[str, list[str]]
+    summary: dict[str, Any]
+    recoveredMs: int
+    exits: dict[str, int]
+
+
+class Drill:
+    """Invariant: whatever a fault stopped is running again when `act` returns."""
+
+    def __init__(self, *, host: Host, fleet: Fleet) -> None:
+        self.host = host
+        self.fleet = fleet
+
+    def act(self, *, kind: str) -> None:
+        getattr(self, "_" + kind)()
+
+    def _daemon(self, *, name: str) -> dict[str, Any]:
+        daemons = [*self.fleet.plan.cores, *self.fleet.plan.edges]
+        return next(daemon for daemon in daemons if daemon["name"] == name)
+
+    def _bounce(self, *, names: list[str], wait: timedelta, empty: bool = False) -> None:
+        for name in names:
+            self.fleet.end(name=name)
+        if empty:
+            for name in names:
+                shutil.rmtree(self.fleet.folder / f"{name}.data")
+        self.host.sleep(wait=wait)
+        for name in names:
+            self.fleet.start_daemon(daemon=self._daemon(name=name))
+
+    def _kill_edge(self) -> None:
+        self._bounce(names=["edge-0"], wait=SECOND)
+
+    def _kill_core(self) -> None:
+        self._bounce(names=["core-0"], wait=3 * SECOND)
+
+    def _empty_core(self) -> None:
+        self._bounce(names=["core-1"], wait=2 * SECOND, empty=True)
+
+    def _restart_all(self) -> None:
+        daemons = [*self.fleet.plan.cores, *self.fleet.plan.edges]
+        self._bounce(names=[daemon["name"] for daemon in daemons], wait=SECOND / 2)
+
+    def _freeze(self, *, name: str, lasts: timedelta) -> None:
+        self.fleet.send_signal(name=name, number=signal.SIGSTOP)
+        self.host.sleep(wait=lasts)
+        self.fleet.send_signal(name=name, number=signal.SIGCONT)
+
+    def _freeze_edge(self) -> None:
+        self._freeze(name="edge-1", lasts=4 * SECOND)
+
+    def _freeze_core(self) -> None:
+        self._freeze(name="core-2", lasts=4 * SECOND)
+
+    def _kill_engine(self) -> None:
+        engine = self.fleet.plan.engines[-1]
+        self.fleet.end(name=engine["engine"])
+        self.host.sleep(wait=2 * SECOND)
+        self.fleet.start_engine(engine=engine)
+
+    def _none(self) -> None:
+        return
+
+
+KINDS = [
+    "none",
+    "kill_edge",
+    "kill_core",
+    "empty_core",
+    "restart_all",
+    "freeze_edge",
+    "freeze_core",
+    "kill_engine",
+]
+
+
+def _rows(*, fleet: Fleet, since: timedelta) -> list[Row]:
+    """The engines' records. All processes of one machine share its monotonic clock."""
+    rows = []
+    for engine in fleet.plan.engines:
+        for line in (fleet.folder / f"{engine['engine']}.history").read_text().splitlines():
+            fields = json.loads(line)
+            at = timedelta(microseconds=fields.pop("atUs")) - since
+            known = {key: fields.pop(key) for key in ("engine", "incarnation", "service", "what")}
+            rows.append(Row(at=at, fields=fields, **known))
+    return sorted(rows, key=lambda row: row.at)
+
+
+def drill(*, host: Host, plan: Plan, folder: str, kind: str, seed: int = 1, quiet: timedelta = QUIET) -> Drilled:
+    """A fresh fleet under its normal load, one fault, quiet; then everything is ended and checked."""
+    shutil.rmtree(folder, ignore_errors=True)
+    with Fleet(host=host, plan=plan, folder=folder) as fleet, Crew(host=host) as crew:
+        fleet.up()
+        assert fleet.wait_for(what="engines"), "the core did not come up"
+        since = host.elapsed()
+        status, told = fleet.put_config()
+        assert status == 200 and fleet.wait_for(what="serving"), f"not serving: {status} {told}"
+        applied = Told(sent=timedelta(), ended=host.elapsed() - since, tree=plan.tree, status=200, mark=told["mark"])
+        crowd = Crowd(host=host, plan=plan, seed=seed, patience=2)
+        began = host.elapsed() - since
+        # The load lasts until it is told to end: faults take as long as they take.
+        lasts = 3 * SECOND + FAULT_LIMIT + quiet
+        task = crew.start(task=crowd.run, lasts=lasts, since=since)
+        host.sleep(wait=3 * SECOND)
+        Drill(host=host, fleet=fleet).act(kind=kind)
+        healed = host.elapsed() - since
+        crowd.until = healed + quiet
+        task.wait()
+        lasted = host.elapsed() - since
+        kept = fleet.kept()
+        exits = fleet.stop()
+        truth = Truth(
+            seen=crowd.seen,
+            rows=_rows(fleet=fleet, since=since),
+            told=[applied],
+            leaving=[],
+            once_lanes={lane for lane, values in plan.tree["lanes"].items() if values.get("run") == "once"},
+            extra_percent=10,
+            perSecond=plan.perSecond,
+            healed=max(healed, began),
+            lasted=min(lasted, healed + quiet),
+            kept=kept,
+        )
+    return Drilled(
+        wrong=checks.check(truth=truth),
+        summary=summarize(seen=crowd.seen),
+        recoveredMs=checks.recovery(truth=truth) // ms(1),
+        exits=exits,
+    )
+
+
+FAULT_LIMIT = 20 * SECOND
+
+
+def test_real_processes_serve_through_a_kill_and_stop_in_order(tmp_path):
+    from dockmux.stage.plan import load
+
+    host = Host(name="drill")
+    plan = load(path="fleets/mini.yaml")
+    found = drill(host=host, plan=plan, folder=str(tmp_path / "run"), kind="kill_edge", quiet=6 * SECOND)
+    assert found.wrong == {}
+    assert found.summary["outcomes"]["answered"] >= 20
+    assert set(found.exits.values()) == {0} and len(found.exits) == 7
+
+
+def test_a_bad_setting_ends_a_program_with_one_line_and_exit_two():
+    import subprocess
+    import sys
+
+    flags = ["--name", "a", "--site", "s", "--address", "127.0.0.1:1", "--http", "127.0.0.1:2"]
+    flags += ["--seeds", "127.0.0.1:3", "--permitMs", "1"]
+    told = subprocess.run(
+        [sys.executable, "-m", "dockmux.verge.program", *flags],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert told.returncode == 2
+    assert told.stderr.splitlines() == [
+        "verge: bad setting permitMs: found 1, allowed: a whole number from 300 to 5000"
+    ]
--- a/dockmux/stage/fleet.py
+++ b/dockmux/stage/fleet.py
@@ -17,7 +17,8 @@
 from dockmux.stage.plan import Plan
 
 ASK_LIMIT = timedelta(seconds=3)
-READY_LIMIT = timedelta(seconds=30)
+READY_LIMIT = timedelta(seconds=60)
+STOP_LIMIT = timedelta(seconds=20)
 
 
 class Fleet:
@@ -35,16 +36,22 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> dict[str, int]:
+        """Ends every process in order, by force only when it does not; their exit codes."""
+        exits = {}
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.terminate()
-        for process in self.processes.values():
+        for name, process in self.processes.items():
             try:
-                process.wait(timeout=15)
+                exits[name] = process.wait(timeout=STOP_LIMIT.total_seconds())
             except subprocess.TimeoutExpired:
                 process.kill()
-                process.wait()
+                exits[name] = process.wait()
         self.processes.clear()
+        return exits
 
     def _start(self, *, name: str, module: str, flags: list[str]) -> None:
         with open(self.folder / f"{name}.log", "ab") as log:
@@ -102,13 +109,21 @@
         status, _, _ = self.ask_core(method="PUT", path="/engines", fields=self.plan.engine_list())
         return status == 200
 
-    def put_config(self) -> int:
-        """Applies the plan's tree; the status."""
+    def put_config(self) -> tuple[int, Any]:
+        """Applies the plan's tree."""
         status, told, _ = self.ask_core(method="GET", path="/config")
         if status != 200:
-            return status
+            return status, told
         headers = {"If-Match": f'"{told["mark"]}"'}
-        return self.ask_core(method="PUT", path="/config", fields=self.plan.tree, headers=headers)[0]
+        return self.ask_core(method="PUT", path="/config", fields=self.plan.tree, headers=headers)[:2]
+
+    def kept(self) -> list[dict[str, Any]] | None:
+        """The configurations that the control plane holds."""
+        status, told, _ = self.ask_core(method="GET", path="/history")
+        if status != 200:
+            return None
+        rows = [self.ask_core(method="GET", path=f"/config/{row['mark']}") for row in told["configs"]]
+        return [{"mark": row["mark"], "tree": row["tree"]} for status, row, _ in rows if status == 200]
 
     def wait_for(self, *, what: str) -> bool:
         """Waits until the engine list is taken (what='engines') or every edge serves (what='serving')."""
--- a/dockmux/stage/program.py
+++ b/dockmux/stage/program.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 
 from dockmux.accord.host import Host
+from dockmux.stage.drill import KINDS, drill
 from dockmux.stage.fleet import Fleet
-from dockmux.stage.plan import load
+from dockmux.stage.plan import Plan, load
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -20,9 +21,15 @@
     up.add_argument("--folder", default="", help="folder for settings, data and logs (default runs/<fleet>)")
     up.add_argument("--apply", action="store_true", help="also apply the fleet file's configuration")
     up.add_argument("--seconds", type=float, default=0, help="stop after so long (default: when interrupted)")
+    drilled = commands.add_parser("drill", help="one fault on real processes under load, then the checkers")
+    drilled.add_argument("fleet", help="the fleet file, as fleets/katalogwerk.yaml")
+    drilled.add_argument("kinds", nargs="*", default=KINDS, help=f"of: {', '.join(KINDS)} (default: all)")
+    drilled.add_argument("--folder", default="", help="folder for settings, data and logs")
     parsed = parser.parse_args(argv)
     host = Host(name="stage")
     plan = load(path=parsed.fleet)
+    if parsed.command == "drill":
+        return _drill(host=host, plan=plan, folder=parsed.folder or f"runs/drill-{plan.name}", kinds=parsed.kinds)
     folder = parsed.folder or f"runs/{plan.name}"
     asked: list[int] = []
     signal.signal(signal.SIGTERM, lambda number, _: asked.append(number))
@@ -37,7 +44,7 @@
         print(f"{plan.name}: {len(plan.cores)} cores, {len(plan.edges)} edges, {len(plan.engines)} engines")
         print(f"logs, settings and the configuration to apply are in {folder}")
         if parsed.apply:
-            status = fleet.put_config()
+            status, _ = fleet.put_config()
             if status != 200 or not fleet.wait_for(what="serving"):
                 print(f"the configuration was not taken up (HTTP {status})", file=sys.stderr)
                 return 1
@@ -51,5 +58,18 @@
     return 0
 
 
+def _drill(*, host: Host, plan: Plan, folder: str, kinds: list[str]) -> int:
+    failed = 0
+    for kind in kinds:
+        found = drill(host=host, plan=plan, folder=folder, kind=kind)
+        state = "FAILED" if found.wrong else "ok"
+        print(f"{plan.name} {kind}: {state}, {found.summary['outcomes']}, recovered in {found.recoveredMs} ms")
+        for name, wrong in found.wrong.items():
+            print(f"  {name}: {len(wrong)}: {wrong[:3]}")
+        sys.stdout.flush()
+        failed += bool(found.wrong)
+    return 1 if failed else 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/dockmux/surge/crowd.py
+++ b/dockmux/surge/crowd.py
@@ -33,6 +33,7 @@
         self.seen: list[Seen] = []
         self.asks: list[Ask] = []
         self.number = 0
+        self.until: timedelta | None = None
         tree = plan.tree
         self.runs = {lane: resolve(tree=tree, lane=lane, site="")["run"] for lane in tree["lanes"]}
         self.prefixes: dict[tuple[str, int], str] = {}
@@ -104,7 +105,7 @@
             while True:
                 perSecond = rate(due) if rate else self.plan.perSecond
                 due += timedelta(seconds=self.random.expovariate(perSecond))
-                if due >= end:
+                if due >= (end if self.until is None else min(end, self.until)):
                     break
                 ask = self.ask(kind=self._kind(swing=getattr(swing, "swing", "")))
                 seen = Seen(lane=ask.lane, identity=ask.identity, edge=ask.edge, intended=due)
