Give pieces as they are written again, and hold a test to it

Cause: wrapping the WSGI application in a generator put off the making of Visit, which sets the least chunk size, until after the WSGI engine had read it; pieces were gathered to 4 KB. Excluded: urllib3's line reading and the stand-in (a single exchange before the wrapper streamed). After: test holds 19 pieces apart. Also: the stand-in engines' pace is a fleet file's matter, so that normal load fills over half of them.

--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 from typing import Any
 
@@ -83,7 +83,11 @@
     """Serves on a socket that is bound already, so that a taken address shows at the daemon's start."""
 
     def application(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+        # Made before the first piece is asked for: it tells the engine not to gather pieces.
         visit = Visit(environ=environ, start_response=start_response)
+        return answer(visit)
+
+    def answer(visit: Visit) -> Iterator[bytes]:
         try:
             yield from site(visit)
         except (OSError, GreenletExit, GeneratorExit):
--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -10,6 +10,8 @@
 from dockmux.accord.web import HttpStream
 from dockmux.omen.fleet import SimFleet, fleet
 from dockmux.stage.plan import load
+from dockmux.surge.agent import Seen, send
+from dockmux.surge.crowd import Crowd
 
 SECOND = timedelta(seconds=1)
 SHOWN = ("Content-Type", "Retry-After", "Connection", "ETag")
@@ -93,3 +95,12 @@
         told.append(say(made=made, body=body, edge=1, path="/lanes/once", headers={"Idempotency-Key": "c"}))
     assert [lines[1] for lines in told] == snapshot
     assert told[-1] == snapshot
+
+
+def test_pieces_are_given_as_they_are_written_not_all_at_the_end():
+    with serving() as made:
+        crowd = Crowd(host=made.outside, plan=made.plan, seed=1)
+        ask = crowd.ask(kind={**made.plan.mix[0], "pieces": [20, 20]})
+        seen = Seen(lane=ask.lane, identity=ask.identity, edge=ask.edge, intended=made.world.now())
+        send(host=made.outside, ask=ask, seen=seen, since=timedelta())
+    assert seen.kind == "answered" and seen.ended - seen.first >= 19 * ms(8)
--- a/dockmux/omen/fleet.py
+++ b/dockmux/omen/fleet.py
@@ -11,7 +11,7 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.span import ms
 from dockmux.accord.web import fetch
-from dockmux.guise.engine import Engine
+from dockmux.guise.engine import Engine, Speed
 from dockmux.omen.world import SimHost, World
 from dockmux.pact.core import Core
 from dockmux.stage.plan import Plan
@@ -66,6 +66,7 @@
                 service=engine["service"],
                 address=engine["address"],
                 phase=engine["phase"],
+                speed=Speed(**self.plan.speed),
             )
             self.engines.append(made)
             self.current_engines[engine["engine"]] = made
--- a/dockmux/stage/fleet.py
+++ b/dockmux/stage/fleet.py
@@ -73,6 +73,8 @@
     def start_engine(self, *, engine: dict[str, Any]) -> None:
         flags = ["--name", engine["engine"], "--service", engine["service"], "--address", engine["address"]]
         flags += ["--phase", engine["phase"], "--record", str(self.folder / f"{engine['engine']}.history")]
+        for key, value in self.plan.speed.items():
+            flags += ["--" + key.replace("_", "-"), str(value)]
         self._start(name=engine["engine"], module="dockmux.guise.program", flags=flags)
 
     def up(self) -> None:
--- a/dockmux/stage/plan.py
+++ b/dockmux/stage/plan.py
@@ -22,6 +22,7 @@
     perSecond: float
     settings: dict[str, Any]
     linkUs: int
+    speed: dict[str, int]
 
     def daemon_settings(self, *, daemon: dict[str, Any], data_folder: str = "") -> dict[str, Any]:
         seeds = [core["address"] for core in self.cores][:3]
@@ -61,7 +62,7 @@
         )  # fmt: skip
     return Plan(
         name=fields["name"], cores=cores, edges=edges, engines=engines, tree=fields["tree"], mix=fields["mix"],
-        perSecond=fields["perSecond"], settings=fields.get("settings", {}), linkUs=fields["linkUs"],
+        perSecond=fields["perSecond"], settings=fields.get("settings", {}), linkUs=fields["linkUs"], speed=fields.get("speed", {}),
     )  # fmt: skip
 
 
