Announce a move in the chain before an engine is ordered to the other phase

Cause: an order took effect at the engine at once, while data daemons went by looks up to two seconds old and sent it legs of its old phase; on a lane run once such a rejected leg is the request's end. Excluded: lapsed memory (20 s, none lapsed); the claim (held in every case). Conclusion: whoever sends must know of a change before who receives carries it out.

--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -83,7 +83,7 @@
             )  # fmt: skip
             council, chain = self.council, self.chain
             self.spread = Spread(host=host, settings=settings, gossip=self.gossip, crew=crew, follower=chain.state)
-            conductor = Conductor(host=host, council=council, links=links, state=chain.state, table=self.spread.table)
+            conductor = Conductor(host=host, council=council, links=links, chain=chain, table=self.spread.table)
             desk = Desk(
                 host=host,
                 listener=listener,
--- a/dockmux/verge/follower.py
+++ b/dockmux/verge/follower.py
@@ -21,6 +21,7 @@
     """Invariants:
     - `until` is a monotonic time up to which no change can have been in force that this daemon does not
       know of; new sends stop there;
+    - `moving` names engines that are changing phase; no new work is sent to them;
     - `configs` are in the order of their marks; `usable[mark]` is the monotonic time from which every daemon
       that does not know the mark must have stopped.
     """
@@ -35,6 +36,7 @@
         self.configs: list[Config] = []
         self.usable: dict[int, timedelta] = {}
         self.engines: list[dict[str, Any]] = []
+        self.moving: dict[str, str] = {}
         self.known_at = -UNBOUNDED
         self.had = False
 
@@ -117,6 +119,7 @@
         for config in self.configs[:-CONFIGS_KEPT]:
             del self.usable[config.mark]
         self.configs = self.configs[-CONFIGS_KEPT:]
+        self.moving = news["moving"]
         if "engines" in news:
             self.engines = news["engines"]
 
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -140,6 +140,7 @@
                 and usage.phase == phase
                 and not usage.leaving
                 and not engine.get("leaving")
+                and engine["engine"] not in self.follower.moving
                 and own < self.settings.engine_streams
             ):
                 offers.append(Offer(engine=engine, usage=usage, own=own))
@@ -211,6 +212,7 @@
             for e in self.follower.engines
         )
         usage = self.spread.table.fresh(engine=engine["engine"])
+        listed = listed and engine["engine"] not in self.follower.moving
         if not listed or engine["service"] != record.values["service"] or usage is None or usage.leaving:
             return False
         if leg == "write" and record.memory is None:
