Announce a move in the chain before an engine is ordered to the other phase

Cause: an order took effect at the engine at once, while data daemons went by looks up to two seconds old and sent it legs of its old phase; on a lane run once such a rejected leg is the request's end. Excluded: lapsed memory (20 s, none lapsed); the claim (held in every case). Conclusion: whoever sends must know of a change before who receives carries it out.

--- a/dockmux/verge/follower.py
+++ b/dockmux/verge/follower.py
@@ -137,6 +137,7 @@
             news = {
                 "configs": [c.fields() for c in self.configs if c.mark > ask.mark],
                 "engines": self.engines,
+                "moving": self.moving,
             }
         held = self.host.elapsed() - self.usable[self.configs[-1].mark] + self.permit if self.configs else ZERO
         return NewsReply(
