Give up at once on who would not be answered in time, and read no more than is written

Cause: waiting requests were held to their horizon whatever stood before them, and prompts were read whose answers then waited for a decode slot until too late, so engines worked for requests that ended unknown. Excluded: the engines' own queues (bounded by 1.5 per slot); the conductor (one move in twenty seconds). Conclusion: each waits for those before it at the pace of the last three seconds; what cannot be in time is told so while it can still come back.

--- a/dockmux/verge/record.py
+++ b/dockmux/verge/record.py
@@ -61,6 +61,8 @@
     outcome: Outcome | None = None
     ended_at: timedelta = timedelta()
     readers: int = 0
+    leg_at: timedelta = timedelta()
+    read_took: timedelta = timedelta()
     task: Any = None
     news: Bell = dataclasses.field(default_factory=Bell)
 
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -20,12 +20,23 @@
 from dockmux.verge.follower import Follower
 from dockmux.verge.legs import Broken, Legs, MemoryLapsed, NotSent, Rejected
 from dockmux.verge.links import Links
+from dockmux.verge.pace import Assigned, Pace, Written
 from dockmux.verge.record import Record, Step
 
 CLAIM_LIMIT = timedelta(seconds=6)
 ENDED_KEPT = timedelta(minutes=10)
 ENDED_MOST = 5000
 AGAIN = timedelta(milliseconds=40)
+WAITING = (Step.CLAIM, Step.READ, Step.WRITE)
+# So many ahead are not reckoned with: engines may be about to be free.
+SMALL_QUEUE = 2
+# With so many as urgent read and waiting to be written, nothing more is read.
+WRITE_QUEUE = 3
+
+
+def _order(record: Record) -> tuple[Any, ...]:
+    """Most urgent first, then nearest horizon."""
+    return (-record.values["urgency"], record.horizon, record.key)
 
 
 class Table:
@@ -48,7 +59,8 @@
         self.crew = crew
         self.holder = holder
         self.budget = Budget()
-        self.journal = Journal(views=[self.budget])
+        self.pace = Pace()
+        self.journal = Journal(views=[self.budget, self.pace])
         self.records: dict[str, Record] = {}
         self.open = 0
         self.own: dict[str, int] = {}
@@ -71,6 +83,7 @@
         while True:
             self.stir.wait(wait=ms(20))
             self.expire()
+            self.shed()
             self.claim()
             self.assign()
             self.forget()
@@ -93,6 +106,22 @@
                 self.end(record=record, kind=Kind.FAILED, why="the user agent has gone")
                 record.task.kill()
 
+    def shed(self) -> None:
+        """Who will not be answered in time is given up now, not at its horizon: in the order in which engines are
+        assigned, each is reckoned to wait for those before it."""
+        now = self.gossip.clock.use() + self.gossip.clock.bound()
+        perSecond = self.pace.perSecond(journal=self.journal, now=self.host.elapsed())
+        waiting = sorted((r for r in self._open_records() if r.step in WAITING), key=_order)
+        for place, record in enumerate(waiting):
+            reading = record.step is not Step.WRITE
+            ahead = place if reading and place >= SMALL_QUEUE else 0
+            wait = timedelta(seconds=ahead / perSecond) + self.pace.left(lane=record.lane, reading=reading)
+            if now + wait <= record.horizon or record.readers == 0:
+                continue
+            retryMs = int(min(max(wait.total_seconds(), 1), 30) * 1000 * self.host.random.uniform(1, 1.5))
+            kind = Kind.FAILED if record.sent else Kind.BUSY
+            self.end(record=record, kind=kind, retryMs=retryMs, why="it would not be answered in time")
+
     def claim(self) -> None:
         for record in self._open_records():
             if record.step is Step.CLAIM:
@@ -105,11 +134,14 @@
         if not waiting or self.follower.current() is None:
             return
         now = self.host.elapsed()
-        waiting.sort(key=lambda r: (-r.values["urgency"], r.horizon, r.key))
+        waiting.sort(key=_order)
+        to_write = [r.values["urgency"] for r in waiting if r.step is Step.WRITE]
         offers: dict[tuple[str, str], list[Offer]] = {}
         for record in waiting:
             if now < record.wait_until:
                 continue
+            if record.step is Step.READ and sum(u >= record.values["urgency"] for u in to_write) >= WRITE_QUEUE:
+                continue  # What is read now would only wait to be written.
             phase = "prefill" if record.step is Step.READ else "decode"
             place = (record.values["service"], phase)
             if place not in offers:
@@ -125,7 +157,10 @@
             name = chosen.engine["engine"]
             self.own[name] = self.own.get(name, 0) + 1
             offers[place] = self._offers(service=place[0], phase=phase)
+            if record.step is Step.READ and not record.sent:
+                self.journal.append(event=Assigned(at=now))
             record.step = Step.READING if record.step is Step.READ else Step.WRITING
+            record.leg_at = now
             record.task = self.crew.start(task=self._leg, record=record, engine=chosen.engine)
 
     def _offers(self, *, service: str, phase: str) -> list[Offer]:
@@ -240,9 +275,12 @@
         try:
             if reading:
                 self.legs.read(record=record, engine=engine)
+                record.read_took = self.host.elapsed() - record.leg_at
                 record.step = Step.WRITE
             else:
                 self.legs.write(record=record, engine=engine)
+                took = self.host.elapsed() - record.leg_at
+                self.journal.append(event=Written(lane=record.lane, read=record.read_took, write=took))
                 self.end(record=record, kind=Kind.ANSWERED)
         except NotSent:
             record.tried.add(name)
