Bring a new member of the chain level before it answers as its tail

Cause: a member is taken in when it is nearly caught up; a write acknowledged between that and the new view was in every other member, so the head saw nothing left to push, and the new tail never got it. It confirmed an older mark than was acknowledged, and daemons that knew the newer one had no news for good. Excluded: permits (all three held throughout); clocks (within bounds); reach (all peers live). Conclusion: a prefix of the acknowledged is not enough for a tail; level is a state of its own, on disk.

--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -160,10 +160,11 @@
 @dataclass(frozen=True, kw_only=True)
 class Append:
     """
-    Predecessor to successor; mark is the place before the first entry.
+    Predecessor to successor; mark is the place before the first entry, upto the last that the predecessor holds.
     """
     number: int
     mark: int
+    upto: int
     entries: list[Entry]
 
 
--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -140,10 +140,13 @@
 
     def ask(self, *, method: str, path: str, fields: Any = None, headers: dict[str, str] | None = None) -> Any:
         """Sends one request and gives the response, its body still to be read."""
+        self.ask_only(method=method, path=path, fields=fields, headers=headers)
+        return self.getresponse()
+
+    def ask_only(self, *, method: str, path: str, fields: Any = None, headers: dict[str, str] | None = None) -> None:
         data = None if fields is None else json.dumps(fields).encode()
         kept = {"Content-Type": "application/json"} if data is not None else {}
         self.request(method, path, body=data, headers={**kept, **(headers or {})}, preload_content=False)
-        return self.getresponse()
 
 
 def fetch(
--- a/dockmux/omen/day.py
+++ b/dockmux/omen/day.py
@@ -151,3 +151,15 @@
     """The engine goes dark with legs on their way; a configuration comes into use before it can be reached again."""
     verdict = run(plan=load(path="fleets/mini.yaml"), seed=56, count=8, only=[0, 4, 6, 7])
     assert verdict.wrong == {}
+
+
+def test_a_core_that_comes_back_in_knows_since_when_it_knows_a_configuration():
+    kinds = ["core_killed", "configurations_burst", "core_split"]
+    verdict = run(plan=load(path="fleets/mini.yaml"), seed=1, lasts=8 * SECOND, count=5, kinds=kinds)
+    assert verdict.wrong == {}
+
+
+def test_a_member_taken_in_while_writes_go_on_is_brought_level_before_it_answers():
+    kinds = ["core_killed", "configurations_burst", "core_split"]
+    verdict = run(plan=load(path="fleets/mini.yaml"), seed=10, lasts=8 * SECOND, count=5, kinds=kinds)
+    assert verdict.wrong == {}
--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -104,3 +104,73 @@
         seen = Seen(lane=ask.lane, identity=ask.identity, edge=ask.edge, intended=made.world.now())
         send(host=made.outside, ask=ask, seen=seen, since=timedelta())
     assert seen.kind == "answered" and seen.ended - seen.first >= 15 * ms(8)
+
+
+def test_operators_exchanges(snapshot):
+    tree = {
+        "defaults": {"horizonMs": 8000, "urgency": 3, "model": "m", "run": "repeatable"},
+        "services": {"catalogue": {}},
+        "lanes": {"ask": {"service": "catalogue"}},
+    }
+    told = []
+    with serving() as made:
+
+        def ask(*, method: str, path: str, fields: Any = None, mark: str = "") -> None:
+            headers = {"If-Match": mark} if mark else None
+            address = made.plan.cores[1]["http"]
+            status, answer = made.ask(address=address, method=method, path=path, fields=fields, headers=headers)
+            told.append([f"{method} {path} {mark}".strip(), status, answer])
+
+        ask(method="PUT", path="/config", fields=tree)
+        ask(method="PUT", path="/config", fields={**tree, "lanes": {"ask": {"service": "none"}}}, mark='"2"')
+        ask(method="PUT", path="/config", fields={"defaults": {"urgency": 11}}, mark='"2"')
+        ask(method="PUT", path="/config", fields=tree, mark='"1"')
+        ask(method="PUT", path="/config", fields=tree, mark='"2"')
+        told[-1][2].pop("activateUs")
+        ask(method="PUT", path="/config", fields=tree, mark='"2"')
+        ask(method="GET", path="/config/99")
+        ask(method="GET", path="/explain/ask?site=a")
+        ask(method="GET", path="/explain/none")
+        ask(method="PUT", path="/engines", fields={"engines": [{"engine": "E"}]})
+        ask(method="PUT", path="/engines", fields={"engines": []}, mark='"77"')
+        ask(method="DELETE", path="/config")
+    assert told == snapshot
+
+
+def test_a_daemon_without_a_trusted_clock_takes_nothing_on(snapshot):
+    """Unsynchronized, as after a freeze, or with a bound above the setting: refused at once."""
+    told = []
+    with serving() as made:
+        gossip = made.daemons["edge-0"].gossip
+        gossip.clock.distrust()
+        told.append(say(made=made, body={"prompt": "p"}))
+        assert made.wait_until(what=gossip.ready, limit=5 * SECOND)
+        told.append(say(made=made, body={"prompt": "p", "pieces": 1})[:2])
+        gossip.clock.dispersion = ms(251)
+        told.append(say(made=made, body={"prompt": "p"}))
+    assert told == snapshot
+
+
+def test_a_slow_reader_stalls_nobody_and_is_given_up_within_bounds():
+    """One user agent reads nothing of a long answer; the engine is free again and others are served meanwhile."""
+    with serving() as made:
+        kind = {**made.plan.mix[0], "pieces": [5000, 5000]}
+        crowd = Crowd(host=made.outside, plan=made.plan, seed=1)
+        slow = crowd.ask(kind=kind)
+        edge = made.daemons["edge-0"]
+        with HttpStream(host=made.outside, address=made.plan.edges[0]["http"], wait=SECOND) as stream:
+            stream.connect()
+            headers = {"Idempotency-Key": slow.identity}
+            body = {**slow.body, "horizonMs": 8000}
+            stream.ask_only(method="POST", path="/lanes/ask", fields=body, headers=headers)
+            made.outside.sleep(wait=2 * SECOND)
+            others = []
+            for _ in range(5):
+                ask = crowd.ask(kind=made.plan.mix[0])
+                seen = Seen(lane=ask.lane, identity=ask.identity, edge=ask.edge, intended=made.world.now())
+                send(host=made.outside, ask=ask, seen=seen, since=timedelta())
+                others.append((seen.kind, seen.ended - seen.intended < SECOND))
+            made.outside.sleep(wait=30 * SECOND)
+            record = edge.table.records[f"ask/{slow.identity}"]
+            assert record.outcome is not None and record.readers == 0
+        assert others == [("answered", True)] * 5
--- a/dockmux/omen/faults.py
+++ b/dockmux/omen/faults.py
@@ -265,7 +265,10 @@
         if not all(self.fleet.hosts[name].alive for name in self._cores()):
             return False
         councils = [getattr(daemon, "council", None) for daemon in daemons]
-        return all(c is not None and c.view is not None and len(c.view.chain) == len(councils) for c in councils)
+        disks = sorted(council.me for council in councils if council is not None)
+        return len(disks) == len(daemons) and all(
+            council.view is not None and sorted(council.view.chain) == disks for council in councils
+        )
 
     def _core_killed(self, *, chance: random.Random, lasts: timedelta) -> None:
         name = chance.choice(self._cores())
--- a/dockmux/omen/program.py
+++ b/dockmux/omen/program.py
@@ -1,12 +1,14 @@
 """The simulator's program: one day to look at, or many seeds."""
 
 import argparse
+import multiprocessing
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from datetime import timedelta
 
 from dockmux.omen.day import Verdict, run_named, shorten
 from dockmux.omen.faults import KINDS
+from dockmux.omen.timing import measure
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -21,10 +23,13 @@
     parser.add_argument("--only", default="", help="only the faults of these numbers, with commas")
     parser.add_argument("--events", action="store_true", help="print every logged event (one seed)")
     parser.add_argument("--shorten", action="store_true", help="look for fewer faults that still fail")
+    parser.add_argument("--clock", action="store_true", help="measure the clock on idle fleets instead")
     parser.add_argument("--jobs", type=int, default=8, help="processes at a time (default 8)")
     parsed = parser.parse_args(argv)
     low, _, high = parsed.seeds.partition("-")
     seeds = range(int(low), int(high or low) + 1)
+    if parsed.clock:
+        return _clock(fleets=parsed.fleet, seeds=seeds, jobs=parsed.jobs)
     changes = {
         "lasts": timedelta(seconds=parsed.seconds),
         "count": parsed.count,
@@ -61,6 +66,14 @@
     return 1 if failed else 0
 
 
+def _clock(*, fleets: list[str], seeds: range, jobs: int) -> int:
+    with ProcessPoolExecutor(max_workers=jobs, max_tasks_per_child=1) as pool:
+        futures = [pool.submit(measure, fleet_file=fleet, seed=seed) for fleet in fleets for seed in seeds]
+        found = [future.result() for future in futures]
+    print("\n".join(timing.line() for timing in found))
+    return 1 if any(timing.wrong for timing in found) else 0
+
+
 def show(*, verdict: Verdict) -> None:
     state = "FAILED" if verdict.wrong else "ok"
     print(
@@ -73,5 +86,16 @@
             print(f"    {text}")
 
 
+def test_both_deployments_keep_the_twelve_rules_on_fixed_seeds():
+    """Whole days at full size; a process each, for a day keeps its memory."""
+    jobs = [(fleet, seed) for seed in (5, 56) for fleet in ("fleets/katalogwerk.yaml", "fleets/brannock.yaml")]
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(max_workers=4, max_tasks_per_child=1, mp_context=context) as pool:
+        futures = [pool.submit(run_named, fleet_file=fleet, seed=seed, count=8) for fleet, seed in jobs]
+        verdicts = [future.result() for future in futures]
+    assert {(v.fleet, v.seed): v.wrong for v in verdicts if v.wrong} == {}
+    assert all(verdict.outcomes["answered"] > verdict.sent / 2 for verdict in verdicts)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -32,6 +32,8 @@
 
 WRITE_LIMIT = timedelta(seconds=4)
 PUSH_LIMIT = timedelta(seconds=2)
+# The chain is gone through so often even when nothing changes, which brings new and restarted members level.
+PULSE = timedelta(milliseconds=250)
 STALL_LIMIT = timedelta(seconds=3)
 BATCH_MOST = 256
 JOIN_CHUNK = 2000
@@ -55,6 +57,7 @@
     - `planned` is folded up to the last synced entry, and only the head uses it, to judge the next change;
     - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
       entry is held by every member, and the tail before may have acknowledged it;
+    - `followed` is the view and the mark up to which the successor has acknowledged under it;
     - `learned` says since when a configuration is known here to be acknowledged;
     - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`.
     """
@@ -79,6 +82,7 @@
         self.planned = self._plan()
         self.planned_view = 0
         self.tail_view = 0
+        self.followed = (0, 0)
         self.extending = council.extending
         self.pending: list[Write] = []
         self.waiting: list[Write] = []
@@ -156,7 +160,7 @@
             if self.planned_view != self.council.view.number:
                 self.planned = self._plan()
                 self.planned_view = self.council.view.number
-            if not self.pending and self.state.mark == self.synced:
+            if not self.pending and self._all_followed() and self.host.elapsed() - self.pushed_at < PULSE:
                 self.stir.wait(wait=ms(50))
                 continue
             try:
@@ -165,6 +169,11 @@
             except OSError:
                 self.host.sleep(wait=ms(50))
 
+    def _all_followed(self) -> bool:
+        if self.state.mark < self.synced:
+            return False
+        return self._successor() is None or self.followed == (self.council.view.number, self.synced)
+
     def _settle_lost(self) -> None:
         """A head that was replaced does not know what became of its changes."""
         if self.waiting and not self.council.is_head():
@@ -246,6 +255,7 @@
         successor = self._successor()
         if successor is None:
             self.acting_tail()
+            self.pushed_at = self.host.elapsed()
             self.host.sleep(wait=ms(50))
             return
         address = self.council.address(disk=successor)
@@ -254,7 +264,8 @@
             return
         mark = self.state.mark
         for _ in range(1000):
-            ask = Append(number=number, mark=mark, entries=self._after(mark=mark)[:BATCH_MOST])
+            entries = self._after(mark=mark)[:BATCH_MOST]
+            ask = Append(number=number, mark=mark, upto=self.synced, entries=entries)
             reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
             if self.council.view.number != number:
                 return
@@ -263,6 +274,7 @@
                 continue
             if reply.state == "acked":
                 self.pushed_at = self.host.elapsed()
+                self.followed = (number, reply.mark)
                 self._acknowledge(mark=reply.mark)
             else:
                 self.council.learn(view=reply.view)
@@ -293,6 +305,12 @@
                 for entry in fresh:
                     self.planned.fold(mark=entry.mark, change=entry.change)
             upto = self.synced
+            if not self.vault.level and upto >= ask.upto:
+                try:
+                    self.vault.vote(level=True)
+                except OSError as error:
+                    council.note_disk_failure(error=error)
+                    return Appended(state="disk", mark=upto)
         if council.is_tail():
             if not self.acting_tail():
                 return Appended(state="refused", mark=upto)
@@ -302,7 +320,9 @@
             self._push()
         except OSError:
             return Appended(state="refused", mark=upto)
-        return Appended(state="acked", mark=self.state.mark)
+        if self.followed[0] != ask.number:
+            return Appended(state="refused", mark=upto)
+        return Appended(state="acked", mark=self.followed[1])
 
     def _acknowledge(self, *, mark: int) -> None:
         """Folds what a tail has acknowledged and tells the waiting writers."""
@@ -357,7 +377,7 @@
     def acting_tail(self) -> bool:
         """Whether this member may answer as the tail."""
         council = self.council
-        if not council.is_tail() or not council.under_permit():
+        if not council.is_tail() or not council.under_permit() or not self.vault.level:
             return False
         if self.tail_view != council.view.number:
             self._acknowledge(mark=self.synced)
@@ -466,6 +486,7 @@
                 self._sync(entries=fresh)
                 for entry in fresh:
                     self.state.fold(mark=entry.mark, change=entry.change)
+                self._note_learned()
             self.planned = self.state.copy()
 
     def on_join(self, *, ask: JoinAsk) -> JoinReply:
--- a/dockmux/pact/council.py
+++ b/dockmux/pact/council.py
@@ -37,6 +37,7 @@
       of the view's voters;
     - nobody acts under a view before every permit under the one before it must have ended (`acts_from`);
     - a core votes only under a view that names its disk as a voter;
+    - nobody that is not level becomes a view's head: it refuses to accept such a view;
     - `extending` is held while entries are added to the chain, and no view is taken over meanwhile.
     """
 
@@ -161,11 +162,12 @@
         with self.extending, self.voting:
             if self.view is not None and view.number <= self.view.number:
                 return
+            level = self._stays_level(view=view)
             try:
-                self.vault.vote(view=view)
+                self.vault.vote(view=view, level=level)
             except OSError as error:
                 # It was decided, whether or not this disk can note it; a restart learns it anew.
-                self.vault.view = view
+                self.vault.view, self.vault.level = view, level
                 self.note_disk_failure(error=error)
             self.grants.clear()
             self.candidates.clear()
@@ -173,6 +175,18 @@
             self.acts_from = self.adopted_at + self.permit * DRIFT_MARGIN
         self.host.log(Note.VIEW_ADOPTED, number=view.number, chain=",".join(view.chain), voters=",".join(view.voters))
 
+    def _stays_level(self, *, view: View) -> bool:
+        """Whoever was level and keeps its place stays so; whoever is new in the chain must first be brought up by
+        its predecessor, for it was taken in while entries were still being acknowledged without it."""
+        if view.number == 1:
+            return True
+        old = self.view
+        return self.vault.level and old is not None and view.number == old.number + 1 and self.me in old.chain
+
+    def _would_lack(self, *, view: View) -> bool:
+        """Whether this member would be head of a view without holding all that was acknowledged."""
+        return view.chain[0] == self.me and not self.vault.level
+
     def note_disk_failure(self, *, error: OSError) -> None:
         """This member is to leave the chain until its disk works again."""
         if not self.ailing:
@@ -235,6 +249,8 @@
         with self.voting:
             if self.view is None or self.me not in self.view.voters or self.view.number != number - 1:
                 return VoteReply(granted=False, disk=self.me, view=self.view)
+            if self._would_lack(view=ask.view):
+                return VoteReply(granted=False, disk=self.me)
             if (ask.ballot, ask.proposer) < self._promised(number=number):
                 return VoteReply(granted=False, disk=self.me, ballot=self._promised(number=number)[0])
             synced = self._sync_vote(
@@ -382,6 +398,8 @@
             for disk in dead:
                 self.host.log(Note.SUSPECTED, disk=disk, silentMs=to_ms(silent[disk]))
             voters = self._voters(view=view, joiner=joiner, silent=silent)
+            if chain[0] == self.me and not self.vault.level:
+                continue
             if voters is not None and not self.propose(chain=chain, voters=voters):
                 self.host.sleep(wait=ms(self.host.random.randrange(50, 400)))
 
--- a/dockmux/pact/vault.py
+++ b/dockmux/pact/vault.py
@@ -17,6 +17,7 @@
     """Invariants:
     - `disk` names this disk; another disk, or an emptied one, has another name, for a vote or a copy that
       was lost with a disk must not be counted again;
+    - `level` is true only while this disk holds every entry that was acknowledged before its view began;
     - `promised`, `accepted` and `founding` are synced before anyone is told of them;
     - `entries` are the synced ones after `base`, without a gap.
     """
@@ -29,6 +30,7 @@
         self.disk = ""
         self.view: View | None = None
         self.founding: View | None = None
+        self.level = False
         self.promised: dict[str, Any] = {"number": 0, "ballot": 0, "proposer": ""}
         self.accepted: dict[str, Any] | None = None
         self.base = State(keep=keep)
@@ -56,6 +58,8 @@
             self.disk = record["disk"]
         if "view" in record:
             self.view = codec.from_fields(kind=View, fields=record["view"])
+        if "level" in record:
+            self.level = record["level"]
         if "founding" in record:
             self.founding = codec.from_fields(kind=View, fields=record["founding"])
         if "promised" in record:
@@ -76,7 +80,7 @@
                 self.host.log(Note.DISK_FAILED, error=error)
 
     def _rewrite_votes(self) -> None:
-        record: dict[str, Any] = {"disk": self.disk, "promised": self.promised}
+        record: dict[str, Any] = {"disk": self.disk, "promised": self.promised, "level": self.level}
         if self.accepted is not None:
             record["accepted"] = self.accepted
         for key, view in (("view", self.view), ("founding", self.founding)):
