Record a writing leg at its receipt, not after its memory was fetched

Cause: the stand-in noted a writing leg only once it had fetched the prompt's memory; with links between engines slowed by up to 0.4 s a way, legs received in time were recorded up to 0.7 s later, under a configuration replaced meanwhile. Conclusion: a fault of the recorder.

--- a/dockmux/guise/engine.py
+++ b/dockmux/guise/engine.py
@@ -199,6 +199,7 @@
         refused = self._will_not(visit=visit, fields=fields, phase="decode")
         if refused is not None:
             return refused
+        receivedUs = to_us(self.host.elapsed())
         told = None
         try:
             with within(wait=ms(min(max(fields["horizonMs"], 1), 5000))):
@@ -211,9 +212,11 @@
         if status != 200 or told["memory"]["incarnation"] != fields["memory"]["incarnation"]:
             self.note(what="no_memory", request=fields["request"], mark=fields["mark"])
             return visit.reply(status=410, fields={"why": "the memory is not there any more"})
-        return self._write(visit=visit, fields=fields, memory=told["memory"], digest=told["digest"])
+        return self._write(visit=visit, fields=fields, told=told, receivedUs=receivedUs)
 
-    def _write(self, *, visit: Visit, fields: dict[str, Any], memory: dict[str, Any], digest: str) -> Iterator[bytes]:
+    def _write(self, *, visit: Visit, fields: dict[str, Any], told: dict[str, Any], receivedUs: int) -> Iterator[bytes]:
+        """The row of a writing leg bears the time at which the leg was received, before its memory was fetched."""
+        memory, digest = told["memory"], told["digest"]
         request = fields["request"]
         self.note(
             what="decode",
@@ -221,6 +224,7 @@
             lane=fields["lane"],
             mark=fields["mark"],
             memory_of=memory["request"],
+            atUs=receivedUs,
         )
         with self._slot(phase="decode"):
             visit.begin(status=200, headers=[("Content-Type", "application/x-ndjson")])
