--- a/dockmux/accord/kinds.py
+++ b/dockmux/accord/kinds.py
@@ -83,18 +83,6 @@
         return ANSWERS[self.kind]
 
 
-class Ended(Exception):
-    """Carries an outcome out of nested steps to the one place that answers it."""
-
-    def __init__(self, *, outcome: Outcome) -> None:
-        super().__init__(outcome.kind.value)
-        self.outcome = outcome
-
-
-def ended(*, kind: Kind, retryMs: int = 1000, **detail: Any) -> Ended:
-    return Ended(outcome=Outcome(kind=kind, detail=detail, retryMs=retryMs))
-
-
 def test_every_kind_has_its_answer():
     assert set(ANSWERS) == set(Kind)
     for kind in (Kind.FAILED, Kind.UNKNOWN):
--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -174,3 +174,20 @@
             record = edge.table.records[f"ask/{slow.identity}"]
             assert record.outcome is not None and record.readers == 0
         assert others == [("answered", True)] * 5
+
+
+def _figures(*, made: SimFleet, address: str) -> list[str]:
+    with HttpStream(host=made.outside, address=address, wait=SECOND) as stream:
+        stream.connect()
+        return stream.ask(method="GET", path="/metrics").read().decode().splitlines()
+
+
+def test_metrics_tell_how_requests_ended_and_how_the_chain_stands():
+    with serving() as made:
+        say(made=made, body={"prompt": "p", "pieces": 1})
+        say(made=made, body={"prompt": "p", "horizonMs": 1})
+        edge = _figures(made=made, address=made.plan.edges[0]["http"])
+        core = _figures(made=made, address=made.plan.cores[0]["http"])
+    assert 'dockmux_outcomes{kind="answered"} 1.0' in edge and 'dockmux_outcomes{kind="late"} 1.0' in edge
+    assert "dockmux_ready 1.0" in edge and "dockmux_open 0.0" in edge
+    assert {"dockmux_view 1.0", "dockmux_chain 3.0", "dockmux_permit 1.0", "dockmux_members 2.0"} <= set(core)
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import Any
 
-from dockmux.accord import schemas
+from dockmux.accord import metrics, schemas
 from dockmux.accord.catalogue import Note
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
@@ -167,6 +167,8 @@
             return visit.conclude(outcome=self._put_config(visit=visit))
         if path == "/engines" and method == "PUT":
             return visit.conclude(outcome=self._put_engines(visit=visit))
+        if path == "/metrics" and method == "GET":
+            return metrics.page(visit=visit, values=self._values(), outcomes={})
         if path not in ("/config", "/engines", "/status", "/clock", "/history") and not path.startswith(
             ("/config/", "/explain/")
         ):
@@ -254,6 +256,13 @@
             change["based_on"] = self._based_on(visit=visit)
         return self.chain.write(change=change)
 
+    def _values(self) -> dict[str, float]:
+        told = self.status()
+        counted = {"chain": len(told["chain"]), "members": len(told["members"])}
+        kept = ("permit", "ailing", "mark", "synced", "config", "engines", "claims", "tasks_failed")
+        bound = {"clock_bound_seconds": self.gossip.clock.bound().total_seconds()}
+        return {"view": told["view"] or 0, **{key: told[key] for key in kept}, **counted, **bound}
+
     def status(self) -> dict[str, Any]:
         council, chain = self.council, self.chain
         view = council.view
--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -9,7 +9,7 @@
 
 import urllib3.exceptions
 
-from dockmux.accord import schemas
+from dockmux.accord import metrics, schemas
 from dockmux.accord.catalogue import Note
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
@@ -99,6 +99,16 @@
             return self._lane(visit=visit, lane=visit.path[7:])
         if visit.method == "GET" and visit.path == "/clock":
             return visit.reply(status=200, fields=self.gossip.report())
+        if visit.method == "GET" and visit.path == "/metrics":
+            values = {
+                "open": self.table.open,
+                "ready": self.follower.current() is not None,
+                "permitted": self.follower.permitted(),
+                "clock_bound_seconds": self.gossip.clock.bound().total_seconds(),
+                "peers": len(self.peers.live()),
+                "tasks_failed": self.crew.failed,
+            }
+            return metrics.page(visit=visit, values=values, outcomes=self.table.outcomes())
         if visit.method == "GET" and visit.path == "/status":
             return visit.reply(status=200, fields=self.status())
         return visit.conclude(outcome=Outcome(kind=Kind.NOT_FOUND, detail={"path": visit.path}))
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -22,6 +22,7 @@
 from dockmux.verge.links import Links
 from dockmux.verge.pace import Assigned, Pace, Written
 from dockmux.verge.record import Record, Step
+from dockmux.verge.tally import Concluded, Tally
 
 CLAIM_LIMIT = timedelta(seconds=6)
 ENDED_KEPT = timedelta(minutes=10)
@@ -60,7 +61,8 @@
         self.holder = holder
         self.budget = Budget()
         self.pace = Pace()
-        self.journal = Journal(views=[self.budget, self.pace])
+        self.tally = Tally()
+        self.journal = Journal(views=[self.budget, self.pace, self.tally])
         self.records: dict[str, Record] = {}
         self.open = 0
         self.own: dict[str, int] = {}
@@ -76,6 +78,11 @@
         if record.outcome is None:
             record.end(outcome=Outcome(kind=kind, detail=detail, retryMs=retryMs), at=self.host.elapsed())
             self.open -= 1
+            self.journal.append(event=Concluded(kind=record.outcome.kind))
+
+    def outcomes(self) -> dict[str, int]:
+        self.journal.fold(view=self.tally)
+        return dict(self.tally.counts)
 
     # Passes.
 
