--- a/dockmux/edict/program.py
+++ b/dockmux/edict/program.py
@@ -236,5 +236,40 @@
 }
 
 
+def test_operators_commands_against_a_fleet(snapshot, tmp_path):
+    from dockmux.omen.exchanges import serving
+
+    told = []
+    with serving() as made:
+        cores = Cores(host=made.outside, addresses=[core["http"] for core in made.plan.cores])
+        cores.addresses.insert(0, "127.0.40.10:7999")  # Nobody listens there: the next core is asked.
+        tree = tmp_path / "tree.json"
+        tree.write_text(json.dumps({**made.plan.tree, "sites": {"a": {"urgency": 6}}}))
+        (tmp_path / "wrong.json").write_text("{}")
+
+        def say(*words: str) -> None:
+            parsed = parser().parse_args([word.replace("@", f"{tmp_path}/") for word in words])
+            status, answer, text = COMMANDS[parsed.command](cores=cores, parsed=parsed)
+            shown = text if status == 200 else refusal(told=answer)
+            told.append([" ".join(words), exit_code(status=status, told=answer), shown.splitlines()])
+
+        say("show", "2")
+        say("diff", "@tree.json")
+        say("apply", "@tree.json", "--based-on", "1")
+        say("apply", "@wrong.json")
+        say("apply", "@tree.json")
+        say("history")
+        say("explain", "once", "--site", "a")
+        say("explain", "none")
+        say("drain", "engine-9")
+        say("drain", "engine-1")
+        say("engines")
+        say("status")
+        say("clock")
+    for row in told:
+        row[2] = [line.replace(f"{tmp_path}/", "@") for line in row[2]]
+    assert told == snapshot
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -191,3 +191,16 @@
     assert 'dockmux_outcomes{kind="answered"} 1.0' in edge and 'dockmux_outcomes{kind="late"} 1.0' in edge
     assert "dockmux_ready 1.0" in edge and "dockmux_open 0.0" in edge
     assert {"dockmux_view 1.0", "dockmux_chain 3.0", "dockmux_permit 1.0", "dockmux_members 2.0"} <= set(core)
+
+
+def test_a_daemon_cut_from_every_core_goes_on_with_a_peers_news():
+    with serving() as made:
+        cores = [core["address"].partition(":")[0] for core in made.plan.cores]
+        edge = made.plan.edges[0]["address"].partition(":")[0]
+        made.world.cuts |= {(edge, core) for core in cores} | {(core, edge) for core in cores}
+        made.outside.sleep(wait=7 * SECOND)
+        answers = []
+        for _ in range(5):
+            made.outside.sleep(wait=ms(400))
+            answers.append(say(made=made, body={"prompt": "p", "pieces": 1})[1])
+        assert answers.count("200") >= 4
