Work out an exchange on one time, and let a fresh daemon step back to its source

Excluded: the doubled answer itself (an answer is used once) and the slewing (at most 3 ms an exchange). Now T1 is kept as a monotonic time, and T1 and T4 are put on the disciplined time as it stands at T4. The test was seen to fail before.

Nothing rests on the time before the first synchronization, so only then does it count. The test was seen to fail before.

--- a/dockmux/tempo/clock.py
+++ b/dockmux/tempo/clock.py
@@ -1,7 +1,7 @@
 """The disciplined clock of one daemon, after GTP (see docs/design.md for what was kept and changed)."""
 
 import dataclasses
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 
 from dockmux.accord.host import Host
 from dockmux.accord.settings_type import Settings
@@ -106,9 +106,15 @@
         self.latest = instant
         return instant
 
+    def at(self, *, elapsed: timedelta) -> datetime:
+        """A moment of the host's monotonic time, on the disciplined time as it is now."""
+        self._work_off()
+        return elapsed + self.base
+
     def use(self) -> datetime:
-        """The time, for a deadline or a stamp; from now on it is slewed, never stepped back."""
-        self.handed_out = True
+        """The time, for a deadline or a stamp; from now on it is slewed, never stepped back. Before the first
+        synchronization nothing rests on it: no work is taken on."""
+        self.handed_out = self.handed_out or self.synchronized
         return self.now()
 
     def since_update(self) -> timedelta:
@@ -205,7 +211,7 @@
         return self.time
 
     def wall(self) -> datetime:
-        return datetime(2026, 1, 1) + self.time
+        return datetime(2026, 1, 1, tzinfo=UTC) + self.time
 
 
 def _clock(**changes: int) -> Clock:
@@ -313,6 +319,15 @@
     assert clock.now() == recorded and clock.bound() == us(10)
 
 
+def test_a_daemon_that_was_never_synchronized_steps_back_too():
+    """Its passes read the time from their start on; were that counted, a source that began with a clock far behind
+    would have to be slewed to, for hours."""
+    clock = _clock()
+    before = clock.use()
+    assert clock.consider(sample=_sample(clock=clock, aheadUs=-60_000_000))
+    assert clock.use() - before == us(-60_000_000) and clock.correction == ZERO
+
+
 def test_after_a_freeze_nothing_is_trusted_and_only_a_step_forward_is_taken():
     for aheadUs, corrected in ((40_000_000, ZERO), (-40_000_000, us(-40_000_000))):
         clock = _settled()
--- a/dockmux/tempo/gossip.py
+++ b/dockmux/tempo/gossip.py
@@ -1,7 +1,8 @@
 """The timestamp exchanges of one daemon, over UDP; the socket is shared with rumour."""
 
 import dataclasses
-from datetime import datetime, timedelta
+import random
+from datetime import timedelta
 from typing import Any
 
 from dockmux.accord import codec
@@ -21,8 +22,9 @@
 
 
 class Gossip:
-    """Invariants: `asked` holds the exchanges still open, by nonce: T1, the monotonic time, the address;
-    an answer is used once."""
+    """Invariants: `asked` holds the exchanges still open, by nonce: the monotonic time of T1, the address; an answer is
+    used once. T1 and T4 are both put on the disciplined time as it is at T4, for it may have been stepped or slewed
+    between them by another exchange, which delta and lambda would not show."""
 
     def __init__(self, *, host: Host, settings: Settings, peers: Peers, port: Any) -> None:
         self.host = host
@@ -31,7 +33,7 @@
         self.port = port
         self.clock = Clock(host=host, settings=settings)
         self.rate = Rate(settings=settings)
-        self.asked: dict[str, tuple[datetime, timedelta, str]] = {}
+        self.asked: dict[str, tuple[timedelta, str]] = {}
         self.summaries: list[UsageSummary] = []
 
     def ready(self) -> bool:
@@ -61,14 +63,14 @@
 
     def _ask(self) -> None:
         now = self.host.elapsed()
-        self.asked = {n: a for n, a in self.asked.items() if now - a[1] < REPLY_LIMIT}
+        self.asked = {n: a for n, a in self.asked.items() if now - a[0] < REPLY_LIMIT}
         contacts = self.peers.contacts()
         if not contacts:
             return
         address = self.host.random.choice(contacts)
         nonce = f"{self.host.random.getrandbits(64):016x}"
         ask = ClockAsk(nonce=nonce, sender=self.peers.me())
-        self.asked[nonce] = (self.clock.now(), now, address)
+        self.asked[nonce] = (self.host.elapsed(), address)
         self.send(address=address, message=ask)
 
     def send(self, *, address: str, message: Any) -> None:
@@ -77,7 +79,7 @@
     def run_receiving(self) -> None:
         while True:
             data, address = self.port.receive()
-            arrived = self.clock.now()
+            arrived = self.host.elapsed()
             try:
                 message = codec.decode(data=unpack(datagram=data))
             except (codec.Malformed, FrameError) as error:
@@ -97,13 +99,13 @@
         for card in peers:
             self.peers.hear(card=card)
 
-    def _answer(self, *, ask: ClockAsk, address: str, arrived: datetime) -> None:
+    def _answer(self, *, ask: ClockAsk, address: str, arrived: timedelta) -> None:
         clock = self.clock
         known = clock.synchronized
         reply = ClockReply(
             nonce=ask.nonce,
             sender=self.peers.me(),
-            receivedUs=instant_us(arrived),
+            receivedUs=instant_us(clock.at(elapsed=arrived)),
             sentUs=instant_us(clock.now()),
             dispersionUs=to_us(clock.own_dispersion() if known else UNBOUNDED),
             precisionUs=to_us(clock.precision),
@@ -116,15 +118,15 @@
         )
         self.send(address=address, message=reply)
 
-    def _take(self, *, reply: ClockReply, address: str, arrived: datetime) -> None:
-        t1, sent, asked = self.asked.pop(reply.nonce, (arrived, ZERO, ""))
+    def _take(self, *, reply: ClockReply, address: str, arrived: timedelta) -> None:
+        sent, asked = self.asked.pop(reply.nonce, (ZERO, ""))
         if asked != address or self.host.elapsed() - sent > REPLY_LIMIT:
             return
         sample = Sample(
-            t1=t1,
+            t1=self.clock.at(elapsed=sent),
             t2=from_instant_us(reply.receivedUs),
             t3=from_instant_us(reply.sentUs),
-            t4=arrived,
+            t4=self.clock.at(elapsed=arrived),
             dispersion=us(reply.dispersionUs),
             precision=us(reply.precisionUs),
             correction=us(reply.correctionUs),
@@ -155,3 +157,56 @@
             "offsetUs": to_us(clock.now() - self.host.wall()),
             "peers": [card.name for card in self.peers.live()],
         }
+
+
+class _NoPort:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def send(self, *, address: str, data: bytes) -> None:
+        self.sent.append(data)
+
+
+def test_an_exchange_during_which_another_stepped_the_clock_is_worked_out_on_one_time():
+    from dockmux.tempo.clock import _Still
+
+    fields = {"site": "s", "http": "127.0.0.1:9", "seeds": ["127.0.0.1:2"]}
+    ends = []
+    for name, address, aheadUs in (("a", "127.0.0.1:1", 0), ("b", "127.0.0.1:2", 80_000)):
+        settings = Settings(name=name, address=address, **fields)
+        host = _Still()
+        host.random = random.Random(name)
+        card = PeerCard(name=name, role="edge", site="s", address=address, http=address, incarnation=name, ageMs=0)
+        peers = Peers(host=host, settings=settings, card=card)
+        ends.append(Gossip(host=host, settings=settings, peers=peers, port=_NoPort()))
+        ends[-1].clock.base += us(aheadUs)
+    here, there = ends
+    there.clock.lead(mark=1, not_before=there.clock.now())
+
+    def pass_time(*, wait: timedelta) -> None:
+        for end in ends:
+            end.host.time += wait
+
+    def carry(*, data: bytes, to: Gossip, source: Gossip) -> None:
+        message = codec.decode(data=unpack(datagram=data))
+        answer = to._answer if isinstance(message, ClockAsk) else to._take
+        words = {"ask": message} if isinstance(message, ClockAsk) else {"reply": message}
+        answer(**words, address=source.settings.address, arrived=to.host.elapsed())
+
+    # Two exchanges are open at once; the one asked later is answered first, and the clock steps by it.
+    here._ask()
+    pass_time(wait=ms(200))
+    here._ask()
+    pass_time(wait=ms(1))
+    carry(data=here.port.sent[1], to=there, source=here)
+    pass_time(wait=ms(1))
+    carry(data=there.port.sent[0], to=here, source=there)
+    assert abs(here.clock.now() - there.clock.now()) <= here.clock.bound()
+    carry(data=here.port.sent[0], to=there, source=here)
+    here.clock.dispersion = ms(500)  # as after a long silence, so that any sample is adopted
+    pass_time(wait=ms(10))
+    carry(data=there.port.sent[1], to=here, source=there)
+    assert abs(here.clock.now() + here.clock.correction - there.clock.now()) <= here.clock.bound()
+    assert here.clock.bound() - abs(here.clock.correction) < ms(110)  # half of the exchange's 212 ms
