Let claims outlast clocks and size, refuse only what is cut off, and mend full disks

Excluded: the permits (asked for as soon as one is not ailing). A member tries again as well; one whose missing entries are gone (`outrun`) still must leave. - A sync that fails after its bytes have reached the disk was refused as "nothing changed", yet a crash before the next append brought the entry back.

--- a/dockmux/accord/host.py
+++ b/dockmux/accord/host.py
@@ -45,6 +45,10 @@
         """Writes data at offset, which is the end of what counts, cutting off what lies beyond."""
         tpool.execute(self._append, name, data, offset)
 
+    def cut(self, *, name: str, offset: int) -> None:
+        """Ends the file at offset."""
+        tpool.execute(self._append, name, b"", offset)
+
     def replace(self, *, name: str, data: bytes) -> None:
         tpool.execute(self._replace, name, data)
 
--- a/dockmux/accord/kinds.py
+++ b/dockmux/accord/kinds.py
@@ -26,6 +26,7 @@
     # After a byte may have reached an engine.
     FAILED = "failed"
     UNKNOWN = "unknown"
+    CHANGED = "changed"
     # Operators.
     MARK_MISSING = "mark_missing"
     MARK_OUTDATED = "mark_outdated"
@@ -61,6 +62,7 @@
     Kind.BAD_METHOD: Answer(status=405, refusal=True, retry=False),
     Kind.FAILED: Answer(status=502, refusal=False, retry=True),
     Kind.UNKNOWN: Answer(status=504, refusal=False, retry=True),
+    Kind.CHANGED: Answer(status=409, refusal=False, retry=True),
     Kind.MARK_MISSING: Answer(status=428, refusal=True, retry=False),
     Kind.MARK_OUTDATED: Answer(status=412, refusal=True, retry=False),
     Kind.INVALID: Answer(status=422, refusal=True, retry=False),
@@ -85,5 +87,5 @@
 
 def test_every_kind_has_its_answer():
     assert set(ANSWERS) == set(Kind)
-    for kind in (Kind.FAILED, Kind.UNKNOWN):
+    for kind in (Kind.FAILED, Kind.UNKNOWN, Kind.CHANGED):
         assert not ANSWERS[kind].refusal
--- a/dockmux/accord/ledger.py
+++ b/dockmux/accord/ledger.py
@@ -2,6 +2,8 @@
 
 import json
 import zlib
+from collections.abc import Iterable
+from datetime import timedelta
 from typing import Any
 
 from dockmux.accord.catalogue import Note
@@ -14,6 +16,10 @@
     """A record that was once synced cannot be read."""
 
 
+class Unsure(OSError):
+    """Records could be neither synced nor cut off again: the next start may find them."""
+
+
 def line(*, record: dict[str, Any]) -> bytes:
     body = json.dumps(record, separators=(",", ":")).encode()
     return b"%08x %08x %s\n" % (zlib.crc32(body), len(body), body)
@@ -82,13 +88,27 @@
         return records
 
     def append(self, *, records: list[dict[str, Any]]) -> None:
-        """On return the records are synced; on an OSError none of them counts."""
+        """On return the records are synced; on Unsure that is not known; on another OSError none of them counts, now
+        or at the next start: what may have been written of them is cut off, and that is synced."""
         data = b"".join(line(record=record) for record in records)
-        self.folder.append(name=self.name, data=data, offset=self.sizeBytes)
+        try:
+            self.folder.append(name=self.name, data=data, offset=self.sizeBytes)
+        except OSError as error:
+            try:
+                self.folder.cut(name=self.name, offset=self.sizeBytes)
+            except OSError:
+                raise Unsure(*error.args) from None
+            raise
         self.sizeBytes += len(data)
 
-    def rewrite(self, *, records: list[dict[str, Any]]) -> None:
-        data = b"".join(line(record=record) for record in records)
+    def rewrite(self, *, records: Iterable[dict[str, Any]]) -> None:
+        """Others run between the records: a long file must not hold up a permit."""
+        lines = []
+        for number, record in enumerate(records):
+            lines.append(line(record=record))
+            if number % 50 == 49:
+                self.host.sleep(wait=timedelta())
+        data = b"".join(lines)
         self.folder.replace(name=self.name, data=data)
         self.host.log(Note.LEDGER_REWRITTEN, file=self.name, beforeBytes=self.sizeBytes, afterBytes=len(data))
         self.sizeBytes = len(data)
--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -220,11 +220,12 @@
 @dataclass(frozen=True, kw_only=True)
 class JoinAsk:
     """
-    A core outside the chain asks the tail for what it lacks.
+    A core outside the chain asks the tail for what it lacks; fresh, for a part of a snapshot.
     """
     disk: str
     mark: int
     fresh: bool
+    part: int = 0
 
 
 
--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -122,6 +122,7 @@
         self.wait = wait
         self.unacked = unacked
         self.identity: dict[str, Any] = {}
+        self.named_at = timedelta()
         self.whole = False
 
     def __enter__(self) -> "HttpStream":
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -10,8 +10,9 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import Host, within
 from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.ledger import Unsure
 from dockmux.accord.settings_type import Settings
-from dockmux.accord.span import ZERO, instant_us, ms
+from dockmux.accord.span import ZERO, instant_us, ms, to_us
 from dockmux.accord.types import (
     Append,
     Appended,
@@ -54,10 +55,12 @@
     Invariants:
     - `entries` in the vault have no gap; each member's are a prefix of its predecessor's;
     - `state` stays the same object and is folded up to the last entry known to be acknowledged by a tail under permit;
-    - `planned` is folded up to the last synced entry, and only the head uses it, to judge the next change;
+    - `planned` is folded up to the last synced entry, and only the head uses it, to judge the next change; at
+      `planned_at` on its own monotonic clock the claims' time stood at `planned_fromUs`;
     - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
       entry is held by every member, and the tail before may have acknowledged it;
     - `followed` is the view and the mark up to which the successor has acknowledged under it;
+    - `handed` is the state whose snapshot is being handed to a core that comes in, one at a time;
     - `learned` says since when a configuration is known here to be acknowledged;
     - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`.
     """
@@ -79,6 +82,7 @@
         self.gossip = gossip
         self.caller = caller
         self.state = vault.base.copy()
+        self.planned_at, self.planned_fromUs = ZERO, 0
         self.planned = self._plan()
         self.planned_view = 0
         self.tail_view = 0
@@ -91,15 +95,18 @@
         self.known_at = ZERO
         self.learned: dict[int, timedelta] = {}
         self.needs_snapshot = True
+        self.handed: dict[str, State] = {}
         self.pushed_at = host.elapsed()
         self.disk_busy_since: timedelta | None = None
         self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
         self._note_learned()
 
     def _plan(self) -> State:
-        planned = self.vault.base.copy()
-        for entry in self.vault.entries:
+        """All that is synced; from here the retention's time goes on."""
+        planned = self.state.copy()
+        for entry in self._after(mark=planned.mark):
             planned.fold(mark=entry.mark, change=entry.change)
+        self.planned_at, self.planned_fromUs = self.host.elapsed(), planned.claimedUs
         return planned
 
     @property
@@ -203,8 +210,9 @@
             try:
                 self._sync(entries=entries)
             except OSError as error:
+                kind = Kind.UNKNOWN if isinstance(error, Unsure) else Kind.DISK_FULL
                 for write in accepted:
-                    write.done.send(Outcome(kind=Kind.DISK_FULL, detail={"why": str(error)}))
+                    write.done.send(Outcome(kind=kind, detail={"why": str(error)}))
                 raise
             self.planned = planned
             self.waiting.extend(accepted)
@@ -234,7 +242,8 @@
             if change.get("based_on") not in (None, planned.engines_mark):
                 return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark": planned.engines_mark})
         elif change["kind"] == "claim":
-            change["atUs"] = nowUs
+            passed = self.host.elapsed() - self.planned_at
+            change["atUs"] = self.planned_fromUs + to_us(passed)
             held = planned.claims.get(change["key"])
             if held is not None:
                 return Outcome(kind=Kind.CLAIMED, detail={"holder": held[1]})
@@ -295,7 +304,7 @@
             fresh = [entry for entry in ask.entries if entry.mark > self.synced]
             if fresh and fresh[0].mark != self.synced + 1:
                 # The predecessor no longer has what is between: out, and back in by a snapshot.
-                council.ailing = True
+                council.outrun = True
                 return Appended(state="refused", mark=self.synced)
             if fresh:
                 try:
@@ -359,7 +368,8 @@
             busy = self.disk_busy_since
             if busy is not None and self.host.elapsed() - busy > STALL_LIMIT:
                 self.council.ailing = True
-            elif self.council.ailing and not self.council.member():
+            elif self.council.ailing:
+                # A member tries as well: when every disk has failed, no view can leave one out.
                 with self.extending:
                     try:
                         self.vault.vote(disk=self.vault.disk)
@@ -464,38 +474,69 @@
                 continue
 
     def _join_once(self, *, address: str) -> None:
-        ask = JoinAsk(disk=self.council.me, mark=self.synced, fresh=self.needs_snapshot)
+        if self.needs_snapshot:
+            state = self._fetch_snapshot(address=address)
+            if state is not None:
+                self._become(state=state)
+            return
+        ask = JoinAsk(disk=self.council.me, mark=self.synced, fresh=False)
         reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
         self.council.learn(view=reply.view)
-        if not reply.granted or self.council.member():
-            return
         with self.extending:
             if self.council.member():
                 return
-            if reply.snapshot is not None:
-                state = State(keep=self.vault.keep)
-                state.restore(fields=reply.snapshot)
-                self.vault.entries = []
-                self.vault.reset(state=state)
-                self.state.__dict__.update(state.__dict__)
-                self._note_learned()
-                self.needs_snapshot = False
-                self.host.log(Note.JOINED, mark=state.mark)
-            fresh = [entry for entry in reply.entries if entry.mark > self.synced]
-            if fresh:
-                self._sync(entries=fresh)
-                for entry in fresh:
-                    self.state.fold(mark=entry.mark, change=entry.change)
-                self._note_learned()
+            if reply.granted:
+                fresh = [entry for entry in reply.entries if entry.mark > self.synced]
+                if fresh:
+                    self._sync(entries=fresh)
+                    for entry in fresh:
+                        self.state.fold(mark=entry.mark, change=entry.change)
+                    self._note_learned()
+                self.planned = self.state.copy()
+            elif self.synced < reply.mark:
+                # The tail no longer has what is between.
+                self.needs_snapshot = True
+
+    def _become(self, *, state: State) -> None:
+        with self.extending:
+            if self.council.member():
+                return
+            self.vault.entries = []
+            self.vault.reset(state=state)
+            self.state.__dict__.update(state.__dict__)
             self.planned = self.state.copy()
+            self._note_learned()
+            self.needs_snapshot = self.council.outrun = False
+            self.host.log(Note.JOINED, mark=state.mark)
+
+    def _fetch_snapshot(self, *, address: str) -> State | None:
+        """The tail's state, part by part."""
+        state = State(keep=self.vault.keep)
+        number, parts = 0, 1
+        while number < parts:
+            ask = JoinAsk(disk=self.council.me, mark=state.mark, fresh=True, part=number)
+            reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
+            self.council.learn(view=reply.view)
+            told = reply.snapshot
+            if told is None or told["part"] != number or (number and told["mark"] != state.mark):
+                return None
+            state.restore(fields=told)
+            number, parts = number + 1, told["parts"]
+        return state
 
     def on_join(self, *, ask: JoinAsk) -> JoinReply:
         council = self.council
         view = council.view
         if not self.acting_tail():
             return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
-        if ask.fresh or ask.mark < self.vault.base.mark:
-            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=self.state.snapshot())
+        if ask.fresh:
+            if ask.part == 0:
+                self.handed = {ask.disk: self.state.copy()}
+            state = self.handed.get(ask.disk)
+            told = state.part(number=ask.part) if state is not None else None
+            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=told)
+        if ask.mark < self.vault.base.mark:
+            return JoinReply(granted=False, mark=self.state.mark, entries=[])
         missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
         if len(missing) <= BATCH_MOST:
             council.note_candidate(disk=ask.disk)
--- a/dockmux/pact/council.py
+++ b/dockmux/pact/council.py
@@ -37,6 +37,8 @@
       of the view's voters;
     - nobody acts under a view before every permit under the one before it must have ended (`acts_from`);
     - a core votes only under a view that names its disk as a voter;
+    - `ailing` says that the last write to this disk failed or stalls, `outrun` that the entries which this member
+      lacks are no longer kept one by one; either has it left out of the chain;
     - nobody that is not level becomes a view's head: it refuses to accept such a view;
     - `extending` is held while entries are added to the chain, and no view is taken over meanwhile.
     """
@@ -61,6 +63,7 @@
         self.extending = Semaphore(1)
         self.ballot = 0
         self.ailing = False
+        self.outrun = False
         self.candidates: dict[str, timedelta] = {}
         self.refused_until: dict[str, timedelta] = {}
 
@@ -384,7 +387,7 @@
             # The first live voter proposes; the others only when it has let time pass.
             patience = self.suspect + self.permit * live.index(self.me)
             dead = [disk for disk in view.chain if silent[disk] > patience]
-            if self.ailing and self.me in view.chain:
+            if (self.ailing or self.outrun) and self.me in view.chain:
                 dead.append(self.me)
             chain = [disk for disk in view.chain if disk not in dead]
             joiner = self._joiner(view=view)
--- a/dockmux/pact/vault.py
+++ b/dockmux/pact/vault.py
@@ -1,12 +1,13 @@
 """What one core keeps on its disk: its identity and votes, and the chain's entries."""
 
+import itertools
 from datetime import timedelta
 from typing import Any
 
 from dockmux.accord import codec
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import Folder, Host
-from dockmux.accord.ledger import Ledger
+from dockmux.accord.ledger import Ledger, LedgerDamaged
 from dockmux.accord.types import Entry, View
 from dockmux.pact.state import State
 
@@ -41,17 +42,22 @@
         if votes is None or not votes:
             self.disk = f"{self.host.random.getrandbits(64):016x}"
             self.host.log(Note.DISK_FRESH, disk=self.disk)
-            self.chain.rewrite(records=[{"snapshot": self.base.snapshot()}])
+            self.chain.rewrite(records=[{"snapshot": self.base.part(number=0)}])
             self.votes.rewrite(records=[{"disk": self.disk}])
             return
         for record in votes:
             self._recall(record=record)
+        parts, wanted = 0, 1
         for record in self.chain.load() or []:
             if "snapshot" in record:
                 self.base.restore(fields=record["snapshot"])
-                self.entries = []
+                parts, wanted = parts + 1, record["snapshot"]["parts"]
             else:
                 self.entries.append(Entry(mark=record["mark"], change=record["change"]))
+        if parts != wanted:
+            # The chain's file is there, whole, before the votes' is: else it was lost or cut off.
+            self.host.log(Note.DISK_CORRUPT, file="chain", offset=0)
+            raise LedgerDamaged(0)
 
     def _recall(self, *, record: dict[str, Any]) -> None:
         if "disk" in record:
@@ -94,12 +100,15 @@
 
     def shorten(self, *, state: State) -> None:
         """Rewrites the chain's file, when it has grown long, from the state that all agree on."""
-        if self.chain.sizeBytes > max(REWRITE_FROM_BYTES, 2 * self.chain.rewrittenBytes):
+        grown = self.chain.sizeBytes - self.chain.rewrittenBytes
+        if grown > max(REWRITE_FROM_BYTES, self.chain.rewrittenBytes // 2):
             self.reset(state=state)
 
     def reset(self, *, state: State) -> None:
         """The file becomes a snapshot of this state and the synced entries after it."""
         base = state.copy()
         rest = [entry for entry in self.entries if entry.mark > base.mark]
-        self.chain.rewrite(records=[{"snapshot": base.snapshot()}, *(codec.to_fields(message=entry) for entry in rest)])
+        parts = ({"snapshot": base.part(number=number)} for number in range(base.part_count))
+        entries = (codec.to_fields(message=entry) for entry in rest)
+        self.chain.rewrite(records=itertools.chain(parts, entries))
         self.base, self.entries = base, rest
