--- a/dockmux/omen/rules.py
+++ b/dockmux/omen/rules.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any
 
 import eventlet
@@ -14,7 +14,7 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.ledger import Ledger, Unsure, parse
-from dockmux.accord.span import ms
+from dockmux.accord.span import EPOCH, ms
 from dockmux.accord.web import HttpStream
 from dockmux.guise.engine import Engine
 from dockmux.omen import checks
@@ -28,6 +28,7 @@
 from dockmux.stage.plan import Plan, build
 from dockmux.surge.agent import Seen, send
 from dockmux.surge.crowd import Crowd
+from dockmux.tempo.clock import Clock
 from dockmux.tempo.gossip import Gossip
 from dockmux.verge import edge as edge_module
 from dockmux.verge import legs as legs_module
@@ -416,11 +417,18 @@
 
 
 def returns(scene: Scene) -> list[Any]:
-    """12. Everything is restarted at once, under load."""
+    """12. Everything is restarted at once, under load; the wall clocks of the cores are days behind by then, and the
+    tail of the chain comes last, so that the source begins before it hears what has been acknowledged."""
     task = scene.load(lasts=24 * SECOND)
     scene.perSecond = scene.made.plan.perSecond
     scene.sleep(3 * SECOND)
-    scene.doer._all_killed(chance=random.Random(1), lasts=SECOND)
+    cores = [core["name"] for core in scene.made.plan.cores]
+    for name in cores:
+        scene.made.hosts[name].machine.wall_offset -= timedelta(days=3)
+    tail = next(name for name in cores if scene.made.daemons[name].council.is_tail())
+    ends = eventlet.spawn(scene.doer._kill_for, names=[tail], lasts=3 * SECOND)
+    scene.doer._kill_for(names=[name for name in [*cores, "edge-0", "edge-1"] if name != tail], lasts=SECOND)
+    ends.wait()
     scene.healed = scene.made.world.now()
     scene.sleep(19 * SECOND)
     ended = scene.truth()
@@ -502,6 +510,13 @@
         _append(self, records=records)
 
 
+_lead = Clock.lead
+
+
+def _begins_with_the_wall_clock(self: Clock, *, mark: int, not_before: datetime) -> None:
+    _lead(self, mark=mark, not_before=EPOCH)
+
+
 def _is_sure(self: Ledger, *, records: list[dict[str, Any]]) -> None:
     try:
         _append(self, records=records)
@@ -622,7 +637,10 @@
     ),
     Rule(
         number=12, check="service_returns", act=returns,
-        defences={"the join rate": [(Gossip, "_wait", lambda self: self.rate.wait)]},
+        defences={
+            "the join rate": [(Gossip, "_wait", lambda self: self.rate.wait)],
+            "no time before what is on record": [(Clock, "lead", _begins_with_the_wall_clock)],
+        },
     ),
 ]  # fmt: skip
 
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -135,7 +135,7 @@
             waited = self.host.elapsed() - waiting_since
             if not clock.synchronized and waited < JOIN_PATIENCE and clock.newest_mark > 0:
                 continue  # Somebody may still have the fleet's time.
-            clock.lead(mark=mark, not_before=self.chain.state.latest_time())
+            clock.lead(mark=mark, not_before=self.chain.planned.latest_time())
             self.host.log(Note.SOURCE_TAKEN, mark=mark)
 
     # News for data daemons.
