Keep claims in plain dicts laid over each other, and prove rewrites against power cuts

Rewriting either file is cut off at each of six steps, with either name found after the last, and nothing is lost; a chain's file that is missing, empty or without its last part is damage.

--- a/dockmux/accord/ledger.py
+++ b/dockmux/accord/ledger.py
@@ -10,6 +10,8 @@
 from dockmux.accord.host import Folder, Host
 
 HEAD_BYTES = 18
+# So much of a long file is encoded at a stretch.
+BREATH_BYTES = 100_000
 
 
 class LedgerDamaged(Exception):
@@ -104,10 +106,13 @@
     def rewrite(self, *, records: Iterable[dict[str, Any]]) -> None:
         """Others run between the records: a long file must not hold up a permit."""
         lines = []
-        for number, record in enumerate(records):
+        sinceBytes = 0
+        for record in records:
             lines.append(line(record=record))
-            if number % 50 == 49:
+            sinceBytes += len(lines[-1])
+            if sinceBytes > BREATH_BYTES:
                 self.host.sleep(wait=timedelta())
+                sinceBytes = 0
         data = b"".join(lines)
         self.folder.replace(name=self.name, data=data)
         self.host.log(Note.LEDGER_REWRITTEN, file=self.name, beforeBytes=self.sizeBytes, afterBytes=len(data))
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -27,7 +27,7 @@
 )  # fmt: skip
 from dockmux.accord.wire import Caller
 from dockmux.pact.council import Council
-from dockmux.pact.state import State
+from dockmux.pact.state import Snapshot, State
 from dockmux.pact.vault import Vault
 from dockmux.tempo.gossip import Gossip
 
@@ -60,7 +60,7 @@
     - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
       entry is held by every member, and the tail before may have acknowledged it;
     - `followed` is the view and the mark up to which the successor has acknowledged under it;
-    - `handed` is the state whose snapshot is being handed to a core that comes in, one at a time;
+    - `handed` is the snapshot that is being handed to a core that comes in, one at a time;
     - `learned` says since when a configuration is known here to be acknowledged;
     - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`.
     """
@@ -81,7 +81,7 @@
         self.council = council
         self.gossip = gossip
         self.caller = caller
-        self.state = vault.base.copy()
+        self.state = vault.opened
         self.planned_at, self.planned_fromUs = ZERO, 0
         self.planned = self._plan()
         self.planned_view = 0
@@ -95,7 +95,7 @@
         self.known_at = ZERO
         self.learned: dict[int, timedelta] = {}
         self.needs_snapshot = True
-        self.handed: dict[str, State] = {}
+        self.handed: dict[str, Snapshot] = {}
         self.pushed_at = host.elapsed()
         self.disk_busy_since: timedelta | None = None
         self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
@@ -106,12 +106,12 @@
         planned = self.state.copy()
         for entry in self._after(mark=planned.mark):
             planned.fold(mark=entry.mark, change=entry.change)
-        self.planned_at, self.planned_fromUs = self.host.elapsed(), planned.claimedUs
+        self.planned_at, self.planned_fromUs = self.host.elapsed(), planned.claims.newestUs
         return planned
 
     @property
     def synced(self) -> int:
-        return self.vault.entries[-1].mark if self.vault.entries else self.vault.base.mark
+        return self.vault.entries[-1].mark if self.vault.entries else self.vault.base_mark
 
     # Writing.
 
@@ -244,9 +244,9 @@
         elif change["kind"] == "claim":
             passed = self.host.elapsed() - self.planned_at
             change["atUs"] = self.planned_fromUs + to_us(passed)
-            held = planned.claims.get(change["key"])
+            held = planned.claims.holder(key=change["key"], nowUs=change["atUs"])
             if held is not None:
-                return Outcome(kind=Kind.CLAIMED, detail={"holder": held[1]})
+                return Outcome(kind=Kind.CLAIMED, detail={"holder": held})
             if len(planned.claims) >= self.settings.claim_limit:
                 return Outcome(kind=Kind.BUSY, detail={"why": "claims are full"}, retryMs=60_000)
         return None
@@ -291,7 +291,7 @@
             return
 
     def _after(self, *, mark: int) -> list[Entry]:
-        base = self.vault.base.mark
+        base = self.vault.base_mark
         return self.vault.entries[max(mark - base, 0) :]
 
     def on_append(self, *, ask: Append) -> Appended:
@@ -531,11 +531,11 @@
             return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
         if ask.fresh:
             if ask.part == 0:
-                self.handed = {ask.disk: self.state.copy()}
-            state = self.handed.get(ask.disk)
-            told = state.part(number=ask.part) if state is not None else None
+                self.handed = {ask.disk: self.state.snapshot()}
+            snapshot = self.handed.get(ask.disk)
+            told = snapshot.part(number=ask.part) if snapshot is not None and ask.part < len(snapshot.keys) else None
             return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=told)
-        if ask.mark < self.vault.base.mark:
+        if ask.mark < self.vault.base_mark:
             return JoinReply(granted=False, mark=self.state.mark, entries=[])
         missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
         if len(missing) <= BATCH_MOST:
--- a/dockmux/pact/vault.py
+++ b/dockmux/pact/vault.py
@@ -1,6 +1,7 @@
 """What one core keeps on its disk: its identity and votes, and the chain's entries."""
 
 import itertools
+import random
 from datetime import timedelta
 from typing import Any
 
@@ -20,7 +21,8 @@
       was lost with a disk must not be counted again;
     - `level` is true only while this disk holds every entry that was acknowledged before its view began;
     - `promised`, `accepted` and `founding` are synced before anyone is told of them;
-    - `entries` are the synced ones after `base`, without a gap.
+    - `entries` are the synced ones after `base_mark`, without a gap; `opened` is the state at that mark when the
+      daemon started.
     """
 
     def __init__(self, *, host: Host, folder: Folder, keep: timedelta) -> None:
@@ -34,7 +36,8 @@
         self.level = False
         self.promised: dict[str, Any] = {"number": 0, "ballot": 0, "proposer": ""}
         self.accepted: dict[str, Any] | None = None
-        self.base = State(keep=keep)
+        self.opened = State(keep=keep)
+        self.base_mark = 0
         self.entries: list[Entry] = []
 
     def open(self) -> None:
@@ -42,7 +45,7 @@
         if votes is None or not votes:
             self.disk = f"{self.host.random.getrandbits(64):016x}"
             self.host.log(Note.DISK_FRESH, disk=self.disk)
-            self.chain.rewrite(records=[{"snapshot": self.base.part(number=0)}])
+            self.chain.rewrite(records=[{"snapshot": self.opened.snapshot().part(number=0)}])
             self.votes.rewrite(records=[{"disk": self.disk}])
             return
         for record in votes:
@@ -50,7 +53,7 @@
         parts, wanted = 0, 1
         for record in self.chain.load() or []:
             if "snapshot" in record:
-                self.base.restore(fields=record["snapshot"])
+                self.opened.restore(fields=record["snapshot"])
                 parts, wanted = parts + 1, record["snapshot"]["parts"]
             else:
                 self.entries.append(Entry(mark=record["mark"], change=record["change"]))
@@ -58,6 +61,7 @@
             # The chain's file is there, whole, before the votes' is: else it was lost or cut off.
             self.host.log(Note.DISK_CORRUPT, file="chain", offset=0)
             raise LedgerDamaged(0)
+        self.base_mark = self.opened.mark
 
     def _recall(self, *, record: dict[str, Any]) -> None:
         if "disk" in record:
@@ -106,9 +110,124 @@
 
     def reset(self, *, state: State) -> None:
         """The file becomes a snapshot of this state and the synced entries after it."""
-        base = state.copy()
-        rest = [entry for entry in self.entries if entry.mark > base.mark]
-        parts = ({"snapshot": base.part(number=number)} for number in range(base.part_count))
-        entries = (codec.to_fields(message=entry) for entry in rest)
-        self.chain.rewrite(records=itertools.chain(parts, entries))
-        self.base, self.entries = base, rest
+        snapshot = state.snapshot()
+        rest = [entry for entry in self.entries if entry.mark > snapshot.mark]
+        parts = ({"snapshot": part} for part in snapshot.all_parts())
+        self.chain.rewrite(records=itertools.chain(parts, (codec.to_fields(message=entry) for entry in rest)))
+        self.base_mark, self.entries = snapshot.mark, rest
+
+
+class _PowerCut(Exception):
+    """The machine is gone."""
+
+
+class _CutFolder:
+    """A folder on a disk whose power goes at a step of a rewrite. Invariant: `files` is what is found afterwards."""
+
+    def __init__(self, *, files: dict[str, bytes], cut_at: str = "", moved: bool = True) -> None:
+        self.files = files
+        self.cut_at = cut_at
+        self.moved = moved
+
+    def read(self, *, name: str) -> bytes | None:
+        return self.files.get(name)
+
+    def append(self, *, name: str, data: bytes, offset: int) -> None:
+        self.files[name] = self.files[name][:offset] + data
+
+    def replace(self, *, name: str, data: bytes) -> None:
+        steps = {
+            "before the new file": {},
+            "half written": {name + ".new": data[: len(data) // 2]},
+            "before its sync": {name + ".new": b"\0" * len(data)},
+            "before the renaming": {name + ".new": data},
+            # Until the folder is synced, either name may be found.
+            "before the folder's sync": {name: data} if self.moved else {name + ".new": data},
+            "after it": {name: data},
+        }
+        if self.cut_at:
+            self.files |= steps[self.cut_at]
+            raise _PowerCut
+        self.files[name] = data
+
+
+class _Desk(Host):
+    """A host without a machine."""
+
+    def __init__(self) -> None:
+        self.name = "desk"
+        self.random = random.Random(1)
+
+    def log(self, note: Note, **fields: Any) -> None:
+        return
+
+    def sleep(self, *, wait: timedelta) -> None:
+        return
+
+
+def _vault(*, folder: Any) -> Vault:
+    vault = Vault(host=_Desk(), folder=folder, keep=timedelta(hours=24))
+    vault.open()
+    return vault
+
+
+def _holds(*, vault: Vault) -> Any:
+    state = vault.opened
+    for entry in vault.entries:
+        state.fold(mark=entry.mark, change=entry.change)
+    claims = sorted(state.claims.kept.items())
+    return vault.disk, vault.view, vault.level, vault.promised, vault.accepted, state.mark, state.config, claims
+
+
+def test_a_power_cut_at_any_step_of_a_rewrite_of_either_file_loses_nothing():
+    view = View(number=3, chain=["a"], voters=["a"])
+    filled = _CutFolder(files={})
+    vault = _vault(folder=filled)
+    vault.vote(view=view, level=True)
+    vault.vote(promised={"number": 4, "ballot": 2, "proposer": "b"})
+    change = {"kind": "config", "tree": {"a": 1}, "activateUs": 5}
+    claims = [{"kind": "claim", "key": f"k{n}", "holder": "h", "atUs": n * 10**9} for n in range(50)]
+    vault.append(entries=[Entry(mark=n + 1, change=c) for n, c in enumerate([change, *claims])])
+    wanted = _holds(vault=_vault(folder=_CutFolder(files=dict(filled.files))))
+    assert wanted[5] == 51 and len(wanted[7]) == 50
+    steps = (
+        "before the new file",
+        "half written",
+        "before its sync",
+        "before the renaming",
+        "before the folder's sync",
+    )
+    for step, moved in [(step, True) for step in (*steps, "after it")] + [(steps[-1], False)]:
+        for file in ("votes", "chain"):
+            folder = _CutFolder(files=dict(filled.files))
+            cut = _vault(folder=folder)
+            state = cut.opened
+            for entry in cut.entries[:30]:
+                state.fold(mark=entry.mark, change=entry.change)
+            folder.cut_at, folder.moved = step, moved
+            try:
+                cut._rewrite_votes() if file == "votes" else cut.reset(state=state)
+            except _PowerCut:
+                again = _vault(folder=_CutFolder(files=dict(folder.files)))
+                assert _holds(vault=again) == wanted, (step, file)
+                continue
+            raise AssertionError(step)
+
+
+def test_votes_without_a_whole_chain_are_damage():
+    filled = _CutFolder(files={})
+    vault = _vault(folder=filled)
+    claims = [{"kind": "claim", "key": f"k{n}", "holder": "h", "atUs": n * 10**9} for n in range(2000)]
+    state = vault.opened
+    for n, c in enumerate(claims):
+        state.fold(mark=n + 1, change=c)
+    vault.reset(state=state)
+    lines = filled.files["chain"].splitlines(keepends=True)
+    assert len(lines) > 2
+    for chain in (None, b"", b"".join(lines[:-1]), lines[0][:40]):
+        files = {"votes": filled.files["votes"]} | ({} if chain is None else {"chain": chain})
+        try:
+            _vault(folder=_CutFolder(files=files))
+        except LedgerDamaged:
+            continue
+        raise AssertionError(chain)
