Let a blank head take the source's role only when no live peer has the fleet's time

Cause: everything but one core was restarted; the head came back blank, led after 1.3 s without having heard the one daemon that still kept the fleet's time, and began anew with its wall clock under the same view's mark: two times under one mark. Excluded: the exchange's arithmetic (both daemons' bounds were right for their own source), the patience for daemons that have heard of a mark (it had heard of none).

--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -133,8 +133,8 @@
                 continue
             waiting_since = self.host.elapsed() if waiting_since is None else waiting_since
             waited = self.host.elapsed() - waiting_since
-            if not clock.synchronized and waited < JOIN_PATIENCE and clock.newest_mark > 0:
-                continue  # Somebody may still have the fleet's time.
+            if not clock.synchronized and waited < JOIN_PATIENCE and not self.gossip.nobody_has_the_time():
+                continue  # Somebody may still have it: two times under one mark would lie apart.
             clock.lead(mark=mark, not_before=self.chain.planned.latest_time())
             self.host.log(Note.SOURCE_TAKEN, mark=mark)
 
--- a/dockmux/tempo/gossip.py
+++ b/dockmux/tempo/gossip.py
@@ -17,14 +17,16 @@
 from dockmux.tempo.rate import ONE_CYCLE, Rate
 
 REPLY_LIMIT = timedelta(seconds=1)
+BLANK_FOR = timedelta(seconds=1)
 PULSE = timedelta(milliseconds=100)
 FROZEN = timedelta(seconds=1)
 
 
 class Gossip:
     """Invariants: `asked` holds the exchanges still open, by nonce: the monotonic time of T1, the address; an answer is
-    used once. T1 and T4 are both put on the disciplined time as it is at T4, for it may have been stepped or slewed
-    between them by another exchange, which delta and lambda would not show."""
+    used once; `blank` says when each peer last answered that it has no time to give. T1 and T4 are both put on the
+    disciplined time as it is at T4, for it may have been stepped or slewed between them by another exchange, which
+    delta and lambda would not show."""
 
     def __init__(self, *, host: Host, settings: Settings, peers: Peers, port: Any) -> None:
         self.host = host
@@ -34,6 +36,7 @@
         self.clock = Clock(host=host, settings=settings)
         self.rate = Rate(settings=settings)
         self.asked: dict[str, tuple[timedelta, str]] = {}
+        self.blank: dict[str, timedelta] = {}
         self.summaries: list[UsageSummary] = []
 
     def ready(self) -> bool:
@@ -67,7 +70,19 @@
         contacts = self.peers.contacts()
         if not contacts:
             return
-        address = self.host.random.choice(contacts)
+        self._ask_at(address=self.host.random.choice(contacts))
+
+    def nobody_has_the_time(self) -> bool:
+        """Whether every live peer has said a short while ago that it has no time to give; asks those that have not."""
+        now = self.host.elapsed()
+        unheard = [
+            card.address for card in self.peers.live() if now - self.blank.get(card.address, -BLANK_FOR) >= BLANK_FOR
+        ]
+        for address in unheard:
+            self._ask_at(address=address)
+        return not unheard
+
+    def _ask_at(self, *, address: str) -> None:
         nonce = f"{self.host.random.getrandbits(64):016x}"
         ask = ClockAsk(nonce=nonce, sender=self.peers.me())
         self.asked[nonce] = (self.host.elapsed(), address)
@@ -135,6 +150,8 @@
             hops=reply.hops,
             source_mark=reply.source_mark,
         )
+        if sample.dispersion >= UNBOUNDED:
+            self.blank[address] = arrived
         joining = not self.clock.synchronized
         used = self.clock.consider(sample=sample)
         if joining and used:
