--- a/dockmux/omen/program.py
+++ b/dockmux/omen/program.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from datetime import timedelta
 
+from dockmux.omen import strain
 from dockmux.omen.day import Verdict, run_named, shorten
 from dockmux.omen.faults import KINDS
 from dockmux.omen.timing import measure
@@ -24,12 +25,15 @@
     parser.add_argument("--events", action="store_true", help="print every logged event (one seed)")
     parser.add_argument("--shorten", action="store_true", help="look for fewer faults that still fail")
     parser.add_argument("--clock", action="store_true", help="measure the clock on idle fleets instead")
+    parser.add_argument("--load", type=float, default=0, help="measure under this many times the normal load instead")
     parser.add_argument("--jobs", type=int, default=8, help="processes at a time (default 8)")
     parsed = parser.parse_args(argv)
     low, _, high = parsed.seeds.partition("-")
     seeds = range(int(low), int(high or low) + 1)
     if parsed.clock:
         return _clock(fleets=parsed.fleet, seeds=seeds, jobs=parsed.jobs)
+    if parsed.load:
+        return _load(fleets=parsed.fleet, seeds=seeds, times=parsed.load, jobs=parsed.jobs)
     changes = {
         "lasts": timedelta(seconds=parsed.seconds),
         "count": parsed.count,
@@ -74,6 +78,17 @@
     return 1 if any(timing.wrong for timing in found) else 0
 
 
+def _load(*, fleets: list[str], seeds: range, times: float, jobs: int) -> int:
+    with ProcessPoolExecutor(max_workers=jobs, max_tasks_per_child=1) as pool:
+        futures = [
+            pool.submit(strain.measure, fleet_file=fleet, seed=seed, times=times) for fleet in fleets for seed in seeds
+        ]
+        found = [future.result() for future in futures]
+    for run in found:
+        print("\n".join(run.lines()))
+    return 1 if any(run.summary["wrong"] for run in found) else 0
+
+
 def show(*, verdict: Verdict) -> None:
     state = "FAILED" if verdict.wrong else "ok"
     print(
--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -27,6 +27,7 @@
 from dockmux.verge.follower import Follower
 from dockmux.verge.links import Links
 from dockmux.verge.record import Record, Step, not_refused
+from dockmux.verge.stages import BUCKETS
 from dockmux.verge.table import Table
 
 IDENTITY = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
@@ -108,7 +109,13 @@
                 "peers": len(self.peers.live()),
                 "tasks_failed": self.crew.failed,
             }
-            return metrics.page(visit=visit, values=values, outcomes=self.table.outcomes())
+            staged = self.table.stages()
+            ends = [end.total_seconds() for end in BUCKETS]
+            spreads = {
+                stage: metrics.Spread(ends=ends, counts=counts, total=staged.total[stage].total_seconds())
+                for stage, counts in staged.counts.items()
+            }
+            return metrics.page(visit=visit, values=values, outcomes=self.table.outcomes(), spreads=spreads)
         if visit.method == "GET" and visit.path == "/status":
             return visit.reply(status=200, fields=self.status())
         return visit.conclude(outcome=Outcome(kind=Kind.NOT_FOUND, detail={"path": visit.path}))
--- a/dockmux/verge/legs.py
+++ b/dockmux/verge/legs.py
@@ -104,6 +104,7 @@
                 if told.get("memory") != record.memory:
                     raise Broken("the engine goes on from another memory")
                 echoed = True
+                record.reached["hand_over"] = self.host.elapsed()
             elif "end" in told:
                 if told["count"] != expected or response.read():
                     raise Broken("the answer's end does not fit its pieces")
--- a/dockmux/verge/pace.py
+++ b/dockmux/verge/pace.py
@@ -22,11 +22,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Written:
-    """An answer came to its end: how long its reading and its writing took, their waits left out."""
+    """An answer came to its end: how long each stage of it took, one after the other: claim, wait_read, read,
+    wait_write, hand_over (until the writing engine has the memory and begins), write."""
 
     lane: str
-    read: timedelta
-    write: timedelta
+    spans: dict[str, timedelta]
+
+    @property
+    def read(self) -> timedelta:
+        return self.spans["read"]
+
+    @property
+    def write(self) -> timedelta:
+        return self.spans["hand_over"] + self.spans["write"]
 
 
 class Pace(View):
@@ -67,8 +75,9 @@
         journal.append(event=Assigned(at=ms(100 * at)))
     assert pace.perSecond(journal=journal, now=ms(2950)) == 10
     assert pace.perSecond(journal=journal, now=ms(9000)) == LEAST_PER_SECOND
-    journal.append(event=Written(lane="a", read=ms(100), write=ms(200)))
-    journal.append(event=Written(lane="a", read=ms(200), write=ms(200)))
+    for read in (100, 200):
+        spans = {"read": ms(read), "hand_over": ms(50), "write": ms(150)}
+        journal.append(event=Written(lane="a", spans=spans))
     journal.fold(view=pace)
     assert pace.left(lane="a", reading=True) == ms(310) and pace.left(lane="a", reading=False) == ms(200)
     assert pace.left(lane="b", reading=True) == timedelta()
--- a/dockmux/verge/record.py
+++ b/dockmux/verge/record.py
@@ -9,6 +9,8 @@
 from dockmux.accord.bell import Bell
 from dockmux.accord.kinds import Kind, Outcome
 
+STAGES = ("claim", "wait_read", "read", "wait_write", "hand_over", "write")
+
 
 class Step(StrEnum):
     """Where a request stands."""
@@ -33,6 +35,7 @@
     - `repeat` says that the request may have been asked for before, elsewhere: the user agent gave the identity and
       did not say that this is its first attempt. Unless this daemon holds the claim, it does not end in a refusal;
     - `unsent_before` is true only when this very daemon knows that it sent nothing for this identity;
+    - `reached` says when the end of a stage was last reached, on this host's monotonic time;
     - `claimed` is true once the chain holds this daemon's claim for it;
     - `outcome` is set once, together with step ENDED;
     - `horizon` is on tempo's time; `mark` is the configuration that the values below were taken from, and
@@ -62,8 +65,7 @@
     outcome: Outcome | None = None
     ended_at: timedelta = timedelta()
     readers: int = 0
-    leg_at: timedelta = timedelta()
-    read_took: timedelta = timedelta()
+    reached: dict[str, timedelta] = dataclasses.field(default_factory=dict)
     task: Any = None
     news: Bell = dataclasses.field(default_factory=Bell)
 
@@ -110,6 +112,16 @@
         self.ended_at = at
         self.news.ring()
 
+    def spans(self) -> dict[str, timedelta]:
+        """How long each stage took, of a record that has passed them all."""
+        found = {}
+        since = self.arrived
+        for stage in STAGES:
+            if stage in self.reached:
+                found[stage] = self.reached[stage] - since
+                since = self.reached[stage]
+        return found
+
     def digest(self, *, first: int) -> str:
         """Of the texts from a piece on, for the last line of a stream."""
         texts = [text for text, _ in self.pieces[first - self.first_piece :]]
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -22,6 +22,7 @@
 from dockmux.verge.links import Links
 from dockmux.verge.pace import Assigned, Pace, Written
 from dockmux.verge.record import Record, Step
+from dockmux.verge.stages import Stages
 from dockmux.verge.tally import Concluded, Tally
 
 CLAIM_LIMIT = timedelta(seconds=6)
@@ -43,7 +44,7 @@
 class Table:
     """Invariants:
     - `records` holds every request that has not ended, by key, and those that ended a short while ago;
-    - `own` counts the legs under way from here, by engine;
+    - `own` has, by engine, when each leg that is under way from here was begun;
     - a record is changed by the passes, or by the one stream task that its step names.
     """
 
@@ -62,10 +63,11 @@
         self.budget = Budget()
         self.pace = Pace()
         self.tally = Tally()
-        self.journal = Journal(views=[self.budget, self.pace, self.tally])
+        self.staged = Stages()
+        self.journal = Journal(views=[self.budget, self.pace, self.tally, self.staged])
         self.records: dict[str, Record] = {}
         self.open = 0
-        self.own: dict[str, int] = {}
+        self.own: dict[str, list[timedelta]] = {}
         self.stir = Bell()
         self.legs = Legs(
             host=host, clock=gossip.clock, links=links, may_send=self.may_send, follower=follower,
@@ -87,6 +89,10 @@
         self.journal.fold(view=self.tally)
         return dict(self.tally.counts)
 
+    def stages(self) -> Stages:
+        self.journal.fold(view=self.staged)
+        return self.staged
+
     # Passes.
 
     def run(self) -> None:
@@ -160,23 +166,24 @@
                 prefix_digest=record.prefix_digest if phase == "prefill" and record.body.get("prefix") else None,
                 site=self.settings.site,
                 avoid=record.tried,
+                chance=self.host.random,
             )
             if chosen is None:
                 continue
             name = chosen.engine["engine"]
-            self.own[name] = self.own.get(name, 0) + 1
+            self.own.setdefault(name, []).append(now)
             offers[place] = self._offers(service=place[0], phase=phase)
             if record.step is Step.READ and not record.sent:
                 self.journal.append(event=Assigned(at=now))
             record.step = Step.READING if record.step is Step.READ else Step.WRITING
-            record.leg_at = now
-            record.task = self.crew.start(task=self._leg, record=record, engine=chosen.engine)
+            record.reached["wait_read" if phase == "prefill" else "wait_write"] = now
+            record.task = self.crew.start(task=self._leg, record=record, engine=chosen.engine, begun=now)
 
     def _offers(self, *, service: str, phase: str) -> list[Offer]:
         offers = []
         for engine in self.follower.engines:
             usage = self.spread.table.fresh(engine=engine["engine"])
-            own = self.own.get(engine["engine"], 0)
+            begun = self.own.get(engine["engine"], [])
             if (
                 engine["service"] == service
                 and usage is not None
@@ -185,8 +192,10 @@
                 and not usage.leaving
                 and not engine.get("leaving")
                 and engine["engine"] not in self.follower.moving
-                and own < self.settings.engine_streams
+                and len(begun) < self.settings.engine_streams
             ):
+                looked = self.spread.table.seen[engine["engine"]]
+                own = sum(at > looked for at in begun)
                 offers.append(Offer(engine=engine, usage=usage, own=own))
         return offers
 
@@ -222,6 +231,7 @@
         held_here = kind is Kind.CLAIMED and detail["holder"] == self.holder and record.unsent_before
         if kind is Kind.ANSWERED or held_here:
             record.claimed = True
+            record.reached["claim"] = self.host.elapsed()
             record.step = Step.READ
             self.stir.ring()
         elif kind is Kind.CLAIMED:
@@ -287,18 +297,18 @@
             record.memory = None  # It was read for what the lane no longer is.
         record.mark, record.values = mark, values
 
-    def _leg(self, *, record: Record, engine: dict[str, Any]) -> None:
+    def _leg(self, *, record: Record, engine: dict[str, Any], begun: timedelta) -> None:
         reading = record.step is Step.READING
         name = engine["engine"]
         try:
             if reading:
                 self.legs.read(record=record, engine=engine)
-                record.read_took = self.host.elapsed() - record.leg_at
+                record.reached["read"] = self.host.elapsed()
                 record.step = Step.WRITE
             else:
                 self.legs.write(record=record, engine=engine)
-                took = self.host.elapsed() - record.leg_at
-                self.journal.append(event=Written(lane=record.lane, read=record.read_took, write=took))
+                record.reached["write"] = self.host.elapsed()
+                self.journal.append(event=Written(lane=record.lane, spans=record.spans()))
                 self.end(record=record, kind=Kind.ANSWERED)
         except NotSent:
             record.tried.add(name)
@@ -314,7 +324,7 @@
             kind = Kind.UNKNOWN if record.once else Kind.FAILED
             self._recover(record=record, engine=name, reading=reading, kind=kind, why=str(error))
         finally:
-            self.own[name] -= 1
+            self.own[name].remove(begun)
             record.task = None
             self.stir.ring()
 
