--- a/dockmux/omen/checks.py
+++ b/dockmux/omen/checks.py
@@ -257,8 +257,16 @@
 
 
 def everyone_is_answered(*, truth: Truth) -> list[str]:
-    """Beside the twelve: nobody is left without an outcome past its horizon, and given up means Retry-After."""
-    return _stream_faults(truth=truth, words=("no outcome", "Retry-After"))
+    """Beside the twelve: nobody is left without an outcome past its horizon, unless by a machine that stood still
+    meanwhile, and given up means Retry-After."""
+    wrong = _stream_faults(truth=truth, words=("Retry-After",))
+    for seen in truth.seen:
+        stood = [
+            1 for edge, since, until in truth.still if edge == seen.edge and since < seen.ended > seen.intended < until
+        ]
+        if "no outcome" in " ".join(seen.wrong) and not stood:
+            wrong.append(f"{seen.lane}/{seen.identity}: no outcome by the horizon and three seconds")
+    return wrong
 
 
 CHECKS: list[Callable[..., list[str]]] = [
@@ -357,7 +365,7 @@
         case "service_returns":
             truth.seen[:] = [row for row in truth.seen if not 20 * SECOND < row.ended < 34 * SECOND]
         case "everyone_is_answered":
-            truth.seen[0].wrong.append("given up without Retry-After")
+            truth.seen[0].wrong.append("no outcome by the horizon and three seconds")
         case _:
             raise AssertionError(name)
 
@@ -377,6 +385,7 @@
     truth.told += planted.get("told", [])
     truth.kept += planted.get("kept", [])
     truth.seen += planted.get("seen", [])
+    truth.still += planted.get("still", [])
     return list(check(truth=truth))
 
 
@@ -421,6 +430,13 @@
     # A repeat that is refused though an earlier attempt has run, and a request that runs after its refusal.
     again = Seen(lane="ask", identity="r5", edge="e", intended=end, kind="busy", ended=end, attempt=2)
     assert _found(seen=[again]) == ["refused_never_runs"]
+    # Nobody is left without an outcome, but a machine that stands still gives none.
+    silent = Seen(
+        lane="ask", identity="x", edge="e", intended=end, ended=end + 9 * SECOND, wrong=["no outcome by then"]
+    )
+    assert _found(seen=[silent]) == ["everyone_is_answered"]
+    assert _found(seen=[silent], still=[("e", end + SECOND, end + 8 * SECOND)]) == []
+    assert _found(seen=[silent], still=[("f", end, end + 8 * SECOND)]) == ["everyone_is_answered"]
     late = Seen(lane="ask", identity="x", edge="e", intended=end, kind="busy", ended=end)
     assert _found(seen=[late], rows=[leg()]) == ["refused_never_runs"]
 
--- a/dockmux/omen/day.py
+++ b/dockmux/omen/day.py
@@ -90,6 +90,7 @@
             healed=healed,
             lasted=min(lasted, began + LEAD_IN + lasts + QUIET),
             kept=kept,
+            still=doer.still,
         )
         shares = [
             max(
--- a/dockmux/omen/faults.py
+++ b/dockmux/omen/faults.py
@@ -127,6 +127,7 @@
         self.core_down = False
         self.replaced = 0
         self.foreign: list[Any] = []
+        self.still: list[tuple[str, timedelta, timedelta]] = []
         self.mended = timedelta()
 
     def run(self, *, fault: Fault) -> None:
@@ -259,10 +260,17 @@
 
     def _freeze(self, *, host: Any, lasts: timedelta) -> None:
         if not host.frozen and host.alive:
+            self._note_still(host=host, lasts=lasts)
             host.freeze()
             self._sleep(lasts)
             host.thaw()
 
+    def _note_still(self, *, host: Any, lasts: timedelta) -> None:
+        now = self.world.now()
+        for edge in self.fleet.plan.edges:
+            if edge["name"] == host.name:
+                self.still.append((edge["http"], now, now + lasts))
+
     def _edge_frozen(self, *, chance: random.Random, lasts: timedelta) -> None:
         self._freeze(host=self.fleet.hosts[chance.choice(self._edges())], lasts=lasts)
 
@@ -451,6 +459,7 @@
         names = self._edges()
         host = self.fleet.hosts[chance.choice(names)]
         host.stop(at=chance.randrange(1, 400), lasts=lasts)
+        self._note_still(host=host, lasts=lasts + SECOND)
         self._sleep(lasts + SECOND)
 
     def final(self, *, kind: str, chance: random.Random) -> None:
--- a/dockmux/omen/truth.py
+++ b/dockmux/omen/truth.py
@@ -37,7 +37,8 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Truth:
-    """Invariants: `rows` are in the order of their times; `sites` names each edge's site; nothing in here comes from a
+    """Invariants: `rows` are in the order of their times; `sites` names each edge's site, `still` who
+    stood still (by HTTP address) from when to when; nothing in here comes from a
     daemon."""
 
     seen: list[Seen]
@@ -49,6 +50,7 @@
     healed: timedelta
     lasted: timedelta
     kept: list[dict[str, Any]] | None = None
+    still: list[tuple[str, timedelta, timedelta]] = dataclasses.field(default_factory=list)
 
     def trees(self) -> dict[int, dict[str, Any]]:
         """Every configuration whose mark is known."""
