Let what both planes need live in the library below, and break rule 1 by a jumped clock

`Config`, the tree and the links to engines move to `accord`: `pact` and `verge` no longer import each other. It holds; with claims counted by the clock instead it runs twice.

--- a/dockmux/omen/checks.py
+++ b/dockmux/omen/checks.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from dockmux.accord.config import CONFIGS_KEPT
 from dockmux.accord.kinds import ANSWERS, Kind
 from dockmux.accord.span import ms
+from dockmux.accord.tree import extra_percent, resolve
 from dockmux.omen.truth import Row, Told, Truth
-from dockmux.pact.state import CONFIGS_KEPT
-from dockmux.pact.tree import extra_percent, resolve
 from dockmux.surge.agent import Seen
 
 SECOND = timedelta(seconds=1)
--- a/dockmux/omen/rules.py
+++ b/dockmux/omen/rules.py
@@ -14,7 +14,8 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.ledger import Ledger, Unsure, parse
-from dockmux.accord.span import EPOCH, ms
+from dockmux.accord.links import Links
+from dockmux.accord.span import EPOCH, instant_us, ms
 from dockmux.accord.web import HttpStream
 from dockmux.guise.engine import Engine
 from dockmux.omen import checks
@@ -36,7 +37,6 @@
 from dockmux.verge.budget import Budget
 from dockmux.verge.follower import Follower
 from dockmux.verge.legs import Broken, Legs
-from dockmux.verge.links import Links
 from dockmux.verge.record import Record, Step
 from dockmux.verge.table import Table
 
@@ -180,6 +180,21 @@
     return [row] * (repeat.status != 0) * len(ran)
 
 
+def once_for_a_day(scene: Scene) -> list[Any]:
+    """1. A request has run; the wall clocks of the cores go days ahead, everything is restarted, others run, and the
+    request is asked for again."""
+    first, seen, task = scene.ask(lane="once")
+    task.wait()
+    for core in scene.made.plan.cores:
+        scene.made.hosts[core["name"]].machine.wall_offset += timedelta(days=3)
+    scene.doer._all_killed(chance=random.Random(1), lasts=SECOND)
+    scene.sleep(6 * SECOND)
+    scene.load(lasts=2 * SECOND).wait()
+    _, repeat, task = scene.ask(lane="once", edge=1, like=first)
+    task.wait()
+    return scene.rows(what="decode", lane="once")[1:] * (seen.kind == "answered") * (repeat.status in (200, 504))
+
+
 def refused(scene: Scene) -> list[Any]:
     """2. A repeat of what has run comes to a daemon that cannot know; a lane goes away between reading and writing."""
     first, seen, task = scene.ask(lane="once")
@@ -460,6 +475,15 @@
         return
 
 
+_plan = Chain._plan
+
+
+def _counts_by_the_clock(self: Chain) -> Any:
+    planned = _plan(self)
+    self.planned_fromUs = instant_us(self.gossip.clock.now())
+    return planned
+
+
 def _goes_on_anyway(self: Table, *, record: Record, engine: str, reading: bool, kind: Kind, why: str) -> None:
     record.tried.add(engine)
     self._again(record=record, step=Step.WRITE if record.memory and not reading else Step.READ)
@@ -527,7 +551,8 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Rule:
     """One rule's run. Invariants: `check` is the checker that fails without a defence; each defence is a list of what
-    is replaced, and `stirs` what is replaced in every run to bring the danger about."""
+    is replaced, once the fleet serves or, if `early`, before; `stirs` is replaced in every run to bring the danger
+    about."""
 
     number: int
     check: str
@@ -536,6 +561,7 @@
     settings: dict[str, int] = dataclasses.field(default_factory=dict)
     stirs: list[tuple[Any, str, Any]] = dataclasses.field(default_factory=list)
     seed: int = 1
+    early: bool = False
 
 
 def _begins_anew(self: Any, **words: Any) -> Any:
@@ -555,6 +581,13 @@
             ],
         },
     ),
+    Rule(
+        number=1,
+        check="once_runs_once",
+        act=once_for_a_day,
+        defences={"the claims' time is no clock's": [(Chain, "_plan", _counts_by_the_clock)]},
+        early=True,
+    ),
     Rule(
         number=2, check="refused_never_runs", act=refused,
         defences={
@@ -649,10 +682,13 @@
     """The danger that arose and what the checkers found, with one defence taken away or none."""
     replaced = [*rule.stirs, *(rule.defences[without] if without else [])]
     with pytest.MonkeyPatch.context() as patch, fleet(plan=small(**rule.settings), seed=rule.seed) as made:
-        made.begin()
-        scene = Scene(made=made)
+        if not rule.early:
+            made.begin()
         for owner, name, value in replaced:
             patch.setattr(owner, name, value)
+        if rule.early:
+            made.begin()
+        scene = Scene(made=made)
         danger = rule.act(scene)
         return danger, checks.check(truth=scene.truth())
 
--- a/dockmux/pact/conductor.py
+++ b/dockmux/pact/conductor.py
@@ -10,10 +10,10 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import Host, within
 from dockmux.accord.kinds import Kind
+from dockmux.accord.links import Links
 from dockmux.accord.span import ZERO, to_us
 from dockmux.pact.council import Council
 from dockmux.rumour.usage import FRESH
-from dockmux.verge.links import Links
 
 TICK = timedelta(milliseconds=500)
 # How long after the former permit's end nobody commands an engine (rule 11).
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -12,8 +12,10 @@
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
 from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.links import Links
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import instant_us, ms, to_ms
+from dockmux.accord.tree import explain, judge
 from dockmux.accord.types import (
     AcceptAsk,
     Append,
@@ -33,12 +35,10 @@
 from dockmux.pact.chain import Chain
 from dockmux.pact.conductor import Conductor
 from dockmux.pact.council import Council
-from dockmux.pact.tree import explain, judge
 from dockmux.pact.vault import Vault
 from dockmux.rumour.spread import Spread
 from dockmux.tempo.gossip import Gossip
 from dockmux.tempo.peers import Peers
-from dockmux.verge.links import Links
 
 JOIN_PATIENCE = timedelta(seconds=3)
 HOLD_LIMIT = timedelta(seconds=1)
--- a/dockmux/pact/state.py
+++ b/dockmux/pact/state.py
@@ -1,33 +1,15 @@
 """What the chain holds, folded from its entries."""
 
-import dataclasses
 from collections.abc import Iterator
 from datetime import datetime, timedelta
 from typing import Any
 
 from pyrsistent import PMap, PVector, pmap, pvector
 
-from dockmux.accord.span import EPOCH, from_instant_us, instant_us
+from dockmux.accord.config import CONFIGS_KEPT, Config, config_from
+from dockmux.accord.span import EPOCH, from_instant_us
 from dockmux.pact.claims import Claims
 
-CONFIGS_KEPT = 20
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Config:
-    """One accepted configuration. Invariant: of two, the one with the higher mark has the later activate."""
-
-    mark: int
-    tree: dict[str, Any]
-    activate: datetime
-
-    def fields(self) -> dict[str, Any]:
-        return {"mark": self.mark, "tree": self.tree, "activateUs": instant_us(self.activate)}
-
-
-def config_from(*, fields: dict[str, Any]) -> Config:
-    return Config(mark=fields["mark"], tree=fields["tree"], activate=from_instant_us(fields["activateUs"]))
-
 
 class State:
     """Invariants: `mark` is the last entry folded in; `configs` and `claims` are persistent, so a copy costs
--- a/dockmux/surge/crowd.py
+++ b/dockmux/surge/crowd.py
@@ -9,8 +9,8 @@
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
 from dockmux.accord.span import ms
+from dockmux.accord.tree import resolve
 from dockmux.guise import model
-from dockmux.pact.tree import resolve
 from dockmux.stage.plan import Plan
 from dockmux.surge.agent import Ask, Seen, send
 
--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -11,21 +11,21 @@
 
 from dockmux.accord import metrics, schemas
 from dockmux.accord.catalogue import Note
+from dockmux.accord.config import Config
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
 from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.links import Links
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ms
+from dockmux.accord.tree import resolve
 from dockmux.accord.types import NewsAsk, PeerCard
 from dockmux.accord.web import HttpStream, Visit, serve
 from dockmux.accord.wire import Caller, Desk
-from dockmux.pact.state import Config
-from dockmux.pact.tree import resolve
 from dockmux.rumour.spread import Spread
 from dockmux.tempo.gossip import Gossip
 from dockmux.tempo.peers import Peers
 from dockmux.verge.follower import Follower
-from dockmux.verge.links import Links
 from dockmux.verge.record import Record, Step, not_refused
 from dockmux.verge.stages import BUCKETS
 from dockmux.verge.table import Table
--- a/dockmux/verge/follower.py
+++ b/dockmux/verge/follower.py
@@ -4,17 +4,16 @@
 from typing import Any
 
 from dockmux.accord.catalogue import Note
+from dockmux.accord.config import CONFIGS_KEPT, Config, config_from
 from dockmux.accord.host import Host
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import UNBOUNDED, ZERO, ms, to_ms
 from dockmux.accord.types import NewsAsk, NewsReply
 from dockmux.accord.wire import Caller
-from dockmux.pact.state import Config, config_from
 from dockmux.tempo.gossip import Gossip
 
 HOLD_MS = 150
 ASK_LIMIT = timedelta(milliseconds=500)
-CONFIGS_KEPT = 20
 # With no more than this part of a permission left and no core that answers, a peer is asked: before it lapses.
 PEER_FROM = 0.75
 LATE_GRACE = timedelta(milliseconds=100)
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -8,18 +8,18 @@
 from dockmux.accord.host import Host
 from dockmux.accord.journal import Journal
 from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.links import Links
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ms
+from dockmux.accord.tree import extra_percent, resolve
 from dockmux.accord.types import WriteAsk, WriteReply
 from dockmux.accord.wire import Caller
-from dockmux.pact.tree import extra_percent, resolve
 from dockmux.rumour.spread import Spread
 from dockmux.tempo.gossip import Gossip
 from dockmux.verge.assign import Offer, assign
 from dockmux.verge.budget import Budget, Sent
 from dockmux.verge.follower import Follower
 from dockmux.verge.legs import Broken, Legs, MemoryLapsed, NotSent, Rejected
-from dockmux.verge.links import Links
 from dockmux.verge.pace import Assigned, Pace, Written
 from dockmux.verge.record import Record, Step
 from dockmux.verge.stages import Stages
