Take a majority's votes as soon as they are there, and pass nothing on once left out

Cause: a proposer waited for every voter, so for the silent one's permit in both rounds, and its competitor then raised the ballot. Excluded: suspicion (1.5 s) and the hand-over wait (1.2 s), which safety needs.

--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -6,7 +6,9 @@
 from datetime import timedelta
 from typing import Any
 
+from dockmux.accord.catalogue import Note
 from dockmux.accord.span import ms
+from dockmux.accord.types import View
 from dockmux.accord.web import HttpStream
 from dockmux.guise import model
 from dockmux.omen.fleet import SimFleet, fleet
@@ -252,3 +254,25 @@
             made.outside.sleep(wait=ms(400))
             answers.append(say(made=made, body={"prompt": "p", "pieces": 1})[1])
         assert answers == ["200"] * 5
+
+
+def test_a_head_that_falls_silent_is_replaced_by_the_majority_that_answers():
+    """The others do not wait for its vote: suspicion, a look, and two rounds of a majority."""
+    with serving() as made:
+        head = next(name for name in ("core-0", "core-1", "core-2") if made.daemons[name].council.is_head())
+        made.hosts[head].machine.isolated = True
+        cut = made.world.now()
+        made.outside.sleep(wait=6 * SECOND)
+        adopted = [at - cut for at, _, note, _ in made.world.logged if note is Note.VIEW_ADOPTED and at > cut]
+    assert len(adopted) == 2 and max(adopted) < ms(2500)
+
+
+def test_a_head_that_is_left_out_between_adding_and_passing_on_passes_nothing_on():
+    with serving() as made:
+        chain = next(made.daemons[name].chain for name in ("core-0", "core-1", "core-2") if
+                     made.daemons[name].council.is_head())  # fmt: skip
+        view = chain.council.view
+        chain.vault.view = View(number=2, chain=view.chain[1:], voters=view.voters)
+        followed = chain.followed
+        chain._push()
+        assert chain.followed == followed
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -259,7 +259,10 @@
         return chain[place] if place < len(chain) else None
 
     def _push(self) -> None:
-        """One round with the successor; on return what it acknowledged is in the state."""
+        """One round with the successor; on return what it acknowledged is in the state. Nothing is passed on by one
+        that a view has left out meanwhile."""
+        if not self.council.member():
+            return
         number = self.council.view.number
         successor = self._successor()
         if successor is None:
--- a/dockmux/pact/council.py
+++ b/dockmux/pact/council.py
@@ -6,9 +6,10 @@
 from eventlet.semaphore import Semaphore
 
 from dockmux.accord import codec
+from dockmux.accord.bell import Bell
 from dockmux.accord.catalogue import Note
 from dockmux.accord.crew import Crew
-from dockmux.accord.host import Host, within
+from dockmux.accord.host import Host
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ZERO, ms, to_ms
 from dockmux.accord.types import (
@@ -267,22 +268,19 @@
             )
             return VoteReply(granted=synced, disk=self.me)
 
-    def _ask_voters(self, *, ask: Any, voters: list[str], answer: Any) -> list[VoteReply]:
-        """Asks all voters at once; gives the replies that came in time."""
+    def _ask_voters(self, *, ask: Any, voters: list[str], answer: Any, enough: int) -> list[VoteReply]:
+        """Asks all voters at once; gives the replies that had come when enough had granted it, or when time was up."""
         replies: list[VoteReply] = []
-        tasks = [
-            self.crew.start(task=self._ask_voter, ask=ask, voter=voter, answer=answer, replies=replies)
-            for voter in voters
-        ]
-        try:
-            with within(wait=self.permit):
-                for task in tasks:
-                    task.wait()
-        except TimeoutError:
-            return list(replies)
-        return replies
-
-    def _ask_voter(self, *, ask: Any, voter: str, answer: Any, replies: list[VoteReply]) -> None:
+        came = Bell()
+        for voter in voters:
+            self.crew.start(task=self._ask_voter, ask=ask, voter=voter, answer=answer, replies=replies, came=came)
+        end = self.host.elapsed() + self.permit
+        while len(replies) < len(voters) and sum(reply.granted for reply in replies) < enough:
+            if not came.wait(wait=end - self.host.elapsed()):
+                break
+        return list(replies)
+
+    def _ask_voter(self, *, ask: Any, voter: str, answer: Any, replies: list[VoteReply], came: Bell) -> None:
         try:
             if voter == self.me:
                 replies.append(answer(ask=ask))
@@ -294,6 +292,8 @@
                     replies.append(reply)
         except OSError:
             return
+        finally:
+            came.ring()
 
     def propose(self, *, chain: list[str], voters: list[str]) -> bool:
         """Tries to have the next view agreed on; what was accepted before goes first."""
@@ -303,7 +303,7 @@
         self.ballot += 1
         majority = len(old.voters) // 2 + 1
         ask = PromiseAsk(number=wanted.number, ballot=self.ballot, proposer=self.me)
-        promises = self._ask_voters(ask=ask, voters=old.voters, answer=self.on_promise)
+        promises = self._ask_voters(ask=ask, voters=old.voters, answer=self.on_promise, enough=majority)
         self._heed(replies=promises)
         granted = [reply for reply in promises if reply.granted]
         if len(granted) < majority or self.view is not old:
@@ -312,7 +312,7 @@
         if earlier:
             wanted = max(earlier, key=lambda reply: (reply.accepted_ballot, reply.accepted_proposer)).accepted
         accept = AcceptAsk(ballot=self.ballot, proposer=self.me, view=wanted)
-        accepts = self._ask_voters(ask=accept, voters=old.voters, answer=self.on_accept)
+        accepts = self._ask_voters(ask=accept, voters=old.voters, answer=self.on_accept, enough=majority)
         self._heed(replies=accepts)
         if sum(reply.granted for reply in accepts) < majority:
             return False
@@ -342,7 +342,8 @@
         return sorted({card.disk for card in self.cores() if card.disk} | {self.me})
 
     def _found(self, *, view: View) -> None:
-        replies = self._ask_voters(ask=FoundAsk(view=view), voters=view.voters, answer=self.on_found)
+        ask = FoundAsk(view=view)
+        replies = self._ask_voters(ask=ask, voters=view.voters, answer=self.on_found, enough=len(view.voters))
         self._heed(replies=replies)
         if sum(reply.granted for reply in replies) == len(view.voters) and self.view is None:
             self.host.log(Note.FOUNDED, voters=",".join(view.voters))
