--- a/dockmux/stage/drill.py
+++ b/dockmux/stage/drill.py
@@ -29,14 +29,18 @@
     summary: dict[str, Any]
     recoveredMs: int
     exits: dict[str, int]
+    told: list[int]
 
 
 class Drill:
-    """Invariant: whatever a fault stopped is running again when `act` returns."""
+    """Invariants: whatever a fault stopped is running again when `act` returns; `told` holds what operators sent."""
 
-    def __init__(self, *, host: Host, fleet: Fleet) -> None:
+    def __init__(self, *, host: Host, fleet: Fleet, crew: Crew, since: timedelta) -> None:
         self.host = host
         self.fleet = fleet
+        self.crew = crew
+        self.since = since
+        self.told: list[Told] = []
 
     def act(self, *, kind: str) -> None:
         getattr(self, "_" + kind)()
@@ -85,6 +89,41 @@
         self.host.sleep(wait=2 * SECOND)
         self.fleet.start_engine(engine=engine)
 
+    def _kill_many(self) -> None:
+        edges = [edge["name"] for edge in self.fleet.plan.edges]
+        self._bounce(names=edges[: -(-len(edges) * 2 // 3)], wait=SECOND)
+
+    def _address_reused(self) -> None:
+        """An engine ends without a word, and another service's takes its address before the list says so."""
+        engine = self.fleet.plan.engines[-1]
+        self.fleet.end(name=engine["engine"])
+        self.fleet.start_engine(engine={**engine, "engine": "stranger", "service": "elsewhere"})
+        self.host.sleep(wait=4 * SECOND)
+        self.fleet.end(name="stranger")
+        self.fleet.start_engine(engine=engine)
+
+    def _operators_race(self) -> None:
+        """Twice two operators send at once from the same mark; a third sends a tree that is wrong."""
+        for round_number in range(2):
+            mark = self.fleet.ask_core(method="GET", path="/config")[1]["mark"]
+            tasks = [
+                self.crew.start(task=self._put, mark=mark, horizonMs=7000 + 100 * round_number + operator)
+                for operator in range(2)
+            ]
+            self._put(mark=mark, horizonMs=-1)
+            for task in tasks:
+                task.wait()
+            self.host.sleep(wait=2 * SECOND)
+
+    def _put(self, *, mark: int, horizonMs: int) -> None:
+        tree = self.fleet.plan.tree
+        tree = {**tree, "defaults": {**tree["defaults"], "horizonMs": horizonMs}}
+        sent = self.host.elapsed() - self.since
+        headers = {"If-Match": f'"{mark}"'}
+        status, told, _ = self.fleet.ask_core(method="PUT", path="/config", fields=tree, headers=headers)
+        taken = told["mark"] if status == 200 else 0
+        self.told.append(Told(sent=sent, ended=self.host.elapsed() - self.since, tree=tree, status=status, mark=taken))
+
     def _none(self) -> None:
         return
 
@@ -98,14 +137,17 @@
     "freeze_edge",
     "freeze_core",
     "kill_engine",
+    "kill_many",
+    "address_reused",
+    "operators_race",
 ]
 
 
 def _rows(*, fleet: Fleet, since: timedelta) -> list[Row]:
     """The engines' records. All processes of one machine share its monotonic clock."""
     rows = []
-    for engine in fleet.plan.engines:
-        for line in (fleet.folder / f"{engine['engine']}.history").read_text().splitlines():
+    for file in sorted(fleet.folder.glob("*.history")):
+        for line in file.read_text().splitlines():
             fields = json.loads(line)
             at = timedelta(microseconds=fields.pop("atUs")) - since
             known = {key: fields.pop(key) for key in ("engine", "incarnation", "service", "what")}
@@ -129,7 +171,8 @@
         lasts = 3 * SECOND + FAULT_LIMIT + quiet
         task = crew.start(task=crowd.run, lasts=lasts, since=since)
         host.sleep(wait=3 * SECOND)
-        Drill(host=host, fleet=fleet).act(kind=kind)
+        made = Drill(host=host, fleet=fleet, crew=crew, since=since)
+        made.act(kind=kind)
         healed = host.elapsed() - since
         crowd.until = healed + quiet
         task.wait()
@@ -139,7 +182,7 @@
         truth = Truth(
             seen=crowd.seen,
             rows=_rows(fleet=fleet, since=since),
-            told=[applied],
+            told=[applied, *made.told],
             leaving=[],
             sites={edge["name"]: edge["site"] for edge in plan.edges},
             perSecond=plan.perSecond,
@@ -152,6 +195,7 @@
         summary=summarize(seen=crowd.seen),
         recoveredMs=checks.recovery(truth=truth) // ms(1),
         exits=exits,
+        told=[told.status for told in made.told],
     )
 
 
--- a/dockmux/stage/program.py
+++ b/dockmux/stage/program.py
@@ -64,6 +64,8 @@
         found = drill(host=host, plan=plan, folder=folder, kind=kind)
         state = "FAILED" if found.wrong else "ok"
         print(f"{plan.name} {kind}: {state}, {found.summary['outcomes']}, recovered in {found.recoveredMs} ms")
+        if found.told:
+            print(f"  operators were told {sorted(found.told)}")
         for name, wrong in found.wrong.items():
             print(f"  {name}: {len(wrong)}: {wrong[:3]}")
         sys.stdout.flush()
