--- a/dockmux/ferry/budget.py
+++ b/dockmux/ferry/budget.py
@@ -45,6 +45,10 @@
             times.popleft()
         return len(times)
 
+    def charge(self, *, service: str, now: timedelta) -> None:
+        """A send turned out to be an extra one only after it was made."""
+        self.own[service].append(now)
+
     def take(
         self, *, service: str, daemons: int, now: timedelta, time: datetime | None, bound: timedelta
     ) -> bool:  # fmt: skip
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -159,7 +159,7 @@
                 if memory is None or not self._usable(engine=pairing.writer):
                     self._drop(memory=memory)
                     continue
-            if not self._take_extra(record=record, first=record.arrivals == 0):
+            if not self._take_extra(record=record, first=record.sends == 0):
                 self._drop(memory=memory)
                 kind, why = Kind.BUSY, "no extra send is left"
                 break
@@ -178,7 +178,6 @@
                     self._note_failed(record=record, engine=pairing.writer, told=told, memory=memory)
                     continue
                 record.sends += 1
-                record.arrivals += 1
                 record.ran = True
                 if span > ZERO:
                     self._note_parts(record=record, engine=pairing.writer)
@@ -267,7 +266,6 @@
             told = self.calls.read(record=record, engine=engine)
         if isinstance(told, Memory):
             record.reads += 1
-            record.arrivals += 1
             span = self.host.elapsed() - began
             tokens = self.placement.unread(engine=engine, ask=record.ask, home=True)
             if idle:
@@ -277,9 +275,10 @@
             return told
         if not isinstance(told, Unsent):
             record.reads += 1
-            record.arrivals += 1
         if isinstance(told, TurnedAway):
+            # Only a reading that is taken up is free.
             record.reads = READS_MOST
+            self.budget.charge(service=record.service, now=self.host.elapsed())
         self._judge_engine(record=record, engine=engine, told=told)
         return None
 
@@ -302,7 +301,6 @@
             self._drop(memory=memory)
             return
         record.sends += 1
-        record.arrivals += 1
         record.ran = record.ran or isinstance(told, Broken)
         if isinstance(told, TurnedAway):
             self._drop(memory=memory)
