--- a/dockmux/ferry/record.py
+++ b/dockmux/ferry/record.py
@@ -11,8 +11,9 @@
 @dataclasses.dataclass(kw_only=True)
 class Record:
     """Invariants: `until` is the monotonic time at which the client's deadline or the route's time-out ends it;
-    `sends` counts the engines that it was sent to to be run, `reads` those that only read for it; `ran` says that it may have run: from then on it is not refused. While it waits for
-    an engine, `engine` names it, `since` is when that last gave a sign, and `wire` is the connection."""
+    `sends` counts the engines that it was sent to to be run, `reads` those that only read for it; `ran` says that it
+    may have run: from then on it is not refused. While it waits for an engine, `engine` names it, `since` is when
+    that last gave a sign, and `wire` is the connection."""
 
     key: int
     ask: Ask
