--- a/dockmux/accord/catalogue.py
+++ b/dockmux/accord/catalogue.py
@@ -18,6 +18,13 @@
         "Look for another program that sends to this port, or for mixed releases.",
     )
     CANNOT_RUN = (1006, "error", "cannot run: {error}", "Free the address or the disk that is named.")
+    SETTINGS_READ = (1007, "info", "settings read again, seeds {seeds}", "Nothing.")
+    SETTINGS_BAD = (
+        1008,
+        "error",
+        "the changed settings are not taken: {error}",
+        "Mend the line that is named and signal again; the former ones hold.",
+    )
     CLOCK_JOINED = (2001, "info", "clock synchronized from {peer}, bound {boundMs} ms", "Nothing.")
     CLOCK_FROZE = (
         2002,
--- a/dockmux/accord/settings.py
+++ b/dockmux/accord/settings.py
@@ -50,6 +50,8 @@
         return "one of " + ", ".join(rule["enum"])
     if "minimum" in rule:
         return f"a whole number from {rule['minimum']} to {rule['maximum']}"
+    if rule["type"] == "boolean":
+        return "true or false"
     if rule["type"] == "array":
         return "a list of one to three addresses, as 10.0.0.1:7000"
     if "pattern" in rule:
@@ -84,6 +86,8 @@
             fields[key] = int(text) if text.lstrip("-").isdigit() else text
         elif rule["type"] == "array":
             fields[key] = text.split(",")
+        elif rule["type"] == "boolean":
+            fields[key] = {"true": True, "false": False}.get(text, text)
         else:
             fields[key] = text
     return check(fields=fields)
--- a/dockmux/tempo/peers.py
+++ b/dockmux/tempo/peers.py
@@ -29,6 +29,7 @@
         self.host = host
         self.settings = settings
         self.card = card
+        self.seeds = list(settings.seeds)
         self.cards: dict[str, PeerCard] = {}
         self.heard: dict[str, timedelta] = {}
         self.lost: dict[str, timedelta] = {}
@@ -67,14 +68,14 @@
         fleet that was cut in two for longer than the silence would stay two."""
         limit = self.host.elapsed() - LOST_KEPT
         self.lost = {address: at for address, at in self.lost.items() if at > limit}
-        seeds = [s for s in self.settings.seeds if s != self.card.address and s not in self.cards]
+        seeds = [s for s in self.seeds if s != self.card.address and s not in self.cards]
         absent = sorted({*self.lost, *seeds})
         return self.host.random.choice(absent) if absent else None
 
     def contacts(self) -> list[str]:
         """Where to turn: live peers, or the seeds while there are none."""
         addresses = [card.address for card in self.live()]
-        return addresses or [seed for seed in self.settings.seeds if seed != self.card.address]
+        return addresses or [seed for seed in self.seeds if seed != self.card.address]
 
 
 def test_a_peer_expires_by_silence_and_second_hand_news_does_not_refresh_it():
