Count an asking of the engine list as new once, however often it is told again

Each daemon told the age of its copy, each hearer counted it from when it looked at the message, up to 50 ms late; told in a ring that kept the copy young and nobody asked. Excluded: the spreading itself (all nine daemons had a new copy within 60 ms), failed calls (none logged).

--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -280,6 +280,7 @@
     verdicts: dict[str, Any]
     spent: dict[str, Any]
     peers: list[PeerCard]
+    list_origin: str = ''
     list_delta: dict[str, Any] | None = None
 
 
@@ -301,3 +302,4 @@
     digest: str
     age_ms: int
     engines: list[dict[str, Any]]
+    origin: str = ''
--- a/dockmux/ferry/directory.py
+++ b/dockmux/ferry/directory.py
@@ -31,9 +31,10 @@
 
 class Directory:
     """Invariants: `rows` is one whole copy of the platform's list, as it stood when it was asked for at `asked_at`, a
-    monotonic time that is never later than it truly was; an older copy never replaces a newer one. There is no single
-    holder of the duty to ask: a second asker costs a call and harms nothing, so whoever is first in the order of the
-    live daemons asks, and the next one when its copy has not become newer in time."""
+    monotonic time; an older copy never replaces a newer one. `origin` names the asking that it came from: the same
+    asking, told again by others, never makes it newer, for what each telling adds to its time would add up for ever.
+    There is no single holder of the duty to ask: a second asker costs a call and harms nothing, so whoever is first in
+    the order of the live daemons asks, and the next one when its copy has not become newer in time."""
 
     def __init__(self, *, host: Host, deployment: Deployment, dialect: Dialect) -> None:
         self.host = host
@@ -42,6 +43,8 @@
         self.rows: dict[str, EngineEntry] = {}
         self.digest = ""
         self.asked_at = -UNBOUNDED
+        self.origin = ""
+        self.asks = 0
         self.before = ""
         self.delta: dict[str, Any] = {}
         self.backoff_until = timedelta()
@@ -76,16 +79,17 @@
             self.backoff_until = self.host.elapsed() + timedelta(milliseconds=self.host.random.randrange(200, 600))
             self.host.log(Note.LIST_FAILED, error=error)
             return False
-        self.take(rows=rows, asked_at=began)
+        self.asks += 1
+        self.take(rows=rows, asked_at=began, origin=f"{self.host.name}:{self.asks}")
         return True
 
     def _stream(self) -> HttpStream:
         return HttpStream(host=self.host, address=self.deployment.list_address, wait=CALL_LIMIT)
 
-    def take(self, *, rows: dict[str, EngineEntry], asked_at: timedelta) -> None:
+    def take(self, *, rows: dict[str, EngineEntry], asked_at: timedelta, origin: str) -> None:
         if asked_at <= self.asked_at:
             return
-        self.asked_at = asked_at
+        self.asked_at, self.origin = asked_at, origin
         found = digest_of(rows=rows)
         if found == self.digest:
             return
@@ -95,19 +99,18 @@
         self.rows, self.before, self.digest = rows, self.digest, found
         self.host.log(Note.LIST_CHANGED, count=len(rows), leaving=sum(row.leaving for row in rows.values()))
 
-    def hear(self, *, digest: str, age: timedelta, delta: dict[str, Any] | None) -> bool:
+    def hear(self, *, digest: str, origin: str, asked_at: timedelta, delta: dict[str, Any] | None) -> bool:
         """Another daemon tells of its copy; whether the whole of it must be asked for there."""
-        asked_at = self.host.elapsed() - age
-        if asked_at <= self.asked_at or not digest:
+        if asked_at <= self.asked_at or not digest or origin == self.origin:
             return False
         if digest == self.digest:
-            self.asked_at = asked_at
+            self.asked_at, self.origin = asked_at, origin
             return False
         if delta and delta["from"] == self.digest:
             rows = {name: row for name, row in self.rows.items() if name not in delta["gone"]}
             rows |= {fields["engine"]: EngineEntry(**fields) for fields in delta["changed"]}
             if digest_of(rows=rows) == digest:
-                self.take(rows=rows, asked_at=asked_at)
+                self.take(rows=rows, asked_at=asked_at, origin=origin)
                 return False
         return True
 
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -180,13 +180,14 @@
     def _hear(self) -> None:
         self.gossip.summaries.clear()
         heard, self.gossip.works[:] = list(self.gossip.works), []
-        for summary in heard:
+        for arrived, summary in heard:
             name = summary.sender.name
             self.work.hear(daemon=name, works=summary.works)
             self.verdicts.hear(told=summary.verdicts)
             self.budget.hear(daemon=name, told=summary.spent)
             wanting = self.directory.hear(
-                digest=summary.list_digest, age=ms(summary.list_age_ms), delta=summary.list_delta
+                digest=summary.list_digest, origin=summary.list_origin,
+                asked_at=arrived - ms(summary.list_age_ms), delta=summary.list_delta,
             )  # fmt: skip
             if wanting and not self.fetching:
                 self.fetching = True
@@ -202,7 +203,8 @@
         summary = WorkSummary(
             sender=self.peers.me(), mark=self.tracker.mark, works=works,
             list_digest=directory.digest if known else "", list_age_ms=min(to_ms(directory.age), 86_400_000),
-            list_delta=delta, verdicts=self.verdicts.told(), spent=self.budget.told(), peers=[],
+            list_origin=directory.origin, list_delta=delta, verdicts=self.verdicts.told(),
+            spent=self.budget.told(), peers=[],
         )  # fmt: skip
         chosen = edges if everyone else self.host.random.sample(edges, min(TELL_TO, len(edges)))
         for card in chosen:
@@ -224,7 +226,7 @@
             reply = self.caller.call(address=address, ask=DirectoryAsk(digest=digest), wait=DIRECTORY_LIMIT)
             rows = {fields["engine"]: EngineEntry(**fields) for fields in reply.engines}
             if reply.digest:
-                self.directory.take(rows=rows, asked_at=asked - ms(reply.age_ms))
+                self.directory.take(rows=rows, asked_at=asked - ms(reply.age_ms), origin=reply.origin)
         except OSError:
             return
         finally:
@@ -233,7 +235,9 @@
     def on_directory(self, *, ask: DirectoryAsk) -> DirectoryReply:
         directory = self.directory
         age_ms = min(to_ms(directory.age), 86_400_000)
-        return DirectoryReply(digest=directory.digest, age_ms=age_ms, engines=directory.fields())
+        return DirectoryReply(
+            digest=directory.digest, origin=directory.origin, age_ms=age_ms, engines=directory.fields()
+        )
 
     # Engines that were found failing, and memory that nobody takes.
 
--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -17,6 +17,9 @@
 # Handing over costs two calls, a move of memory, and what they cost besides.
 HAND_OVER = timedelta(milliseconds=25)
 OTHER_ZONE = timedelta(milliseconds=6)
+# What reading a shared part again, though an engine keeps it, and moving memory are worth, per token.
+READ_AGAIN = timedelta(microseconds=100)
+MOVED = timedelta(microseconds=20)
 PER_STREAM = timedelta(milliseconds=2)
 FIRST_TOKEN = timedelta(milliseconds=15)
 # Reading pace before any was seen, tokens a ms.
@@ -116,15 +119,18 @@
     ) -> tuple[timedelta, timedelta, EngineEntry]:  # fmt: skip
         """The engine that would have read the prompt first: when, how long it would read, which."""
         key = shared_key(parts=ask.parts)
-        home = order(key=key, engines=engines)[0].engine if key else ""
+        ranked = order(key=key, engines=engines) if key else engines
+        own = ask.parts[-1].tokens if ask.parts else ask.tokens_in
         rows = []
-        for engine in engines:
-            tokens = self.unread(engine=engine, ask=ask, home=engine.engine == home)
+        for place, engine in enumerate(ranked):
+            tokens = self.unread(engine=engine, ask=ask, home=bool(key) and place == 0)
             span = self.span(service=service, tokens=tokens) * slower
             ready = self.work.backlog(engine=engine.engine) + span + self._away(engine=engine, zone=self.zone)
             ready += PER_STREAM * self.work.streams(engine=engine.engine)
-            rows.append((ready, engine.engine, span, engine))
-        ready, _, span, engine = min(rows, key=lambda row: row[:2])
+            # The next in the order is where the others turn as well, so it is likely to keep the parts by now.
+            again = READ_AGAIN * max(tokens - own, 0) * (0.5 if key and place == 1 else 1)
+            rows.append((ready + again, engine.engine, ready, span, engine))
+        _, _, ready, span, engine = min(rows, key=lambda row: row[:2])
         return ready, span, engine
 
     def _direct(self, *, service: str, ask: Ask, writers: list[EngineEntry]) -> tuple[timedelta, Pairing]:
@@ -140,7 +146,7 @@
         writer = self.writer(writers=writers, near=reader.zone)
         expected = ready + HAND_OVER + FIRST_TOKEN
         pairing = Pairing(reader=reader, reader_span=span, writer=writer, writer_span=ZERO, expected=expected)
-        return expected, pairing
+        return expected + MOVED * ask.tokens_in, pairing
 
     def writer(self, *, writers: list[EngineEntry], near: str) -> EngineEntry:
         """For a prompt that was read: little to read, few streams, near the memory and the client."""
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -260,7 +260,7 @@
 
     def _read(self, *, record: Record, pairing: Pairing) -> Memory | None:
         engine = pairing.reader
-        idle = self.work.backlog(engine=engine.engine) == ZERO
+        idle = self.work.backlog(engine=engine.engine) <= ZERO
         began = self.host.elapsed()
         with self.work.reading(engine=engine.engine, span=pairing.reader_span):
             told = self.calls.read(record=record, engine=engine)
--- a/dockmux/ferry/work.py
+++ b/dockmux/ferry/work.py
@@ -14,12 +14,12 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Load:
-    """One engine's open work from here. Invariant: `done_at` is the monotonic time at which what is to be read there
-    would be read if it went one after the other; no earlier than now while `reading` is above 0."""
+    """One engine's open work from here. Invariant: `to_read` is the sum of the times that its open readings were
+    reckoned to take when they were sent: one that takes longer than that still lies there until it has come."""
 
     streams: int = 0
     reading: int = 0
-    done_at: timedelta = ZERO
+    to_read: timedelta = ZERO
 
 
 class Work:
@@ -34,15 +34,13 @@
     def reading(self, *, engine: str, span: timedelta) -> Iterator[None]:
         """A prompt is being read there, for about so long once it is its turn."""
         load = self.own.setdefault(engine, Load())
-        now = self.host.elapsed()
-        load.done_at = max(load.done_at, now) + span
+        load.to_read += span
         load.reading += 1
         try:
             yield
         finally:
             load.reading -= 1
-            if not load.reading:
-                load.done_at = self.host.elapsed()
+            load.to_read -= span
             self._tidy(engine=engine)
 
     @contextlib.contextmanager
@@ -64,10 +62,11 @@
         """How long what is to be read there will take, as far as is known."""
         now = self.host.elapsed()
         load = self.own.get(engine)
-        total = max(load.done_at - now, ZERO) if load is not None and load.reading else ZERO
+        total = load.to_read if load is not None else ZERO
         for at, rows in self.told.values():
             if engine in rows and now - at < TOLD_FOR:
-                total += max(ms(rows[engine][0]) - (now - at), ZERO)
+                # Part of it was read since; how much is not known before the next word.
+                total += max(ms(rows[engine][0]) - (now - at) / 2, ZERO)
         return total
 
     def streams(self, *, engine: str) -> int:
@@ -77,11 +76,7 @@
         return count + sum(rows[engine][1] for at, rows in self.told.values() if engine in rows and now - at < TOLD_FOR)
 
     def summary(self) -> dict[str, list[int]]:
-        now = self.host.elapsed()
-        return {
-            engine: [max(to_ms(load.done_at - now), 0) if load.reading else 0, load.streams]
-            for engine, load in self.own.items()
-        }
+        return {engine: [to_ms(load.to_read), load.streams] for engine, load in self.own.items()}
 
     def hear(self, *, daemon: str, works: dict[str, Any]) -> None:
         self.told[daemon] = (self.host.elapsed(), works)
--- a/dockmux/tempo/gossip.py
+++ b/dockmux/tempo/gossip.py
@@ -38,7 +38,7 @@
         self.asked: dict[str, tuple[timedelta, str]] = {}
         self.blank: dict[str, timedelta] = {}
         self.summaries: list[UsageSummary] = []
-        self.works: list[WorkSummary] = []
+        self.works: list[tuple[timedelta, WorkSummary]] = []
 
     def ready(self) -> bool:
         """Whether the time may be used for new work."""
@@ -112,7 +112,7 @@
             elif isinstance(message, UsageSummary):
                 self.summaries.append(message)
             elif isinstance(message, WorkSummary) and self.card_role == "edge":
-                self.works.append(message)
+                self.works.append((arrived, message))
             self._hear(sender=message.sender, address=address, peers=getattr(message, "peers", []))
 
     def _hear(self, *, sender: PeerCard, address: str, peers: list[PeerCard]) -> None:
