--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -12,15 +12,18 @@
 
 # A writing engine reads between the tokens of others: half as fast.
 DIRECT_SLOWER = 2.0
-# What reading there takes from the streams that run beside it, as a part of the reading time.
-DISTURBS = 0.5
+# Each of the streams that run beside it is held up by it: what that is worth, as a part of the reading time.
+DISTURBS = 0.25
 # Handing over costs two calls, a move of memory, and what they cost besides.
 HAND_OVER = timedelta(milliseconds=25)
 OTHER_ZONE = timedelta(milliseconds=6)
 # What reading a shared part again, though an engine keeps it, and moving memory are worth, per token.
 READ_AGAIN = timedelta(microseconds=100)
 MOVED = timedelta(microseconds=20)
-PER_STREAM = timedelta(milliseconds=2)
+# Every token of an answer comes later by so much for each stream that runs beside it.
+PER_STREAM_TOKEN = timedelta(microseconds=100)
+# The others choose by the same numbers, which are some time old: so many streams are drawn by chance.
+DRAWN_STREAMS = 2.0
 FIRST_TOKEN = timedelta(milliseconds=15)
 # Reading pace before any was seen, tokens a ms.
 PACE_GUESS = 40.0
@@ -126,7 +129,6 @@
             tokens = self.unread(engine=engine, ask=ask, home=bool(key) and place == 0)
             span = self.span(service=service, tokens=tokens) * slower
             ready = self.work.backlog(engine=engine.engine) + span + self._away(engine=engine, zone=self.zone)
-            ready += PER_STREAM * self.work.streams(engine=engine.engine)
             # The next in the order is where the others turn as well, so it is likely to keep the parts by now.
             again = READ_AGAIN * max(tokens - own, 0) * (0.5 if key and place == 1 else 1)
             rows.append((ready + again, engine.engine, ready, span, engine))
@@ -137,24 +139,27 @@
         ready, span, engine = self._reading(service=service, ask=ask, engines=writers, slower=DIRECT_SLOWER)
         expected = ready + FIRST_TOKEN
         pairing = Pairing(reader=None, reader_span=ZERO, writer=engine, writer_span=span, expected=expected)
-        return expected + span * DISTURBS, pairing
+        streams = self.work.streams(engine=engine.engine)
+        least = min(self.work.streams(engine=writer.engine) for writer in writers)
+        crowded = PER_STREAM_TOKEN * ask.tokens_out * (streams - least)
+        return expected + span * DISTURBS * streams + crowded, pairing
 
     def _apart(
         self, *, service: str, ask: Ask, readers: list[EngineEntry], writers: list[EngineEntry]
     ) -> tuple[timedelta, Pairing]:  # fmt: skip
         ready, span, reader = self._reading(service=service, ask=ask, engines=readers, slower=1.0)
-        writer = self.writer(writers=writers, near=reader.zone)
+        writer = self.writer(ask=ask, writers=writers, near=reader.zone)
         expected = ready + HAND_OVER + FIRST_TOKEN
         pairing = Pairing(reader=reader, reader_span=span, writer=writer, writer_span=ZERO, expected=expected)
         return expected + MOVED * ask.tokens_in, pairing
 
-    def writer(self, *, writers: list[EngineEntry], near: str) -> EngineEntry:
-        """For a prompt that was read: little to read, few streams, near the memory and the client."""
+    def writer(self, *, ask: Ask, writers: list[EngineEntry], near: str) -> EngineEntry:
+        """For a prompt that was read: few streams, little to read, near the memory and the client."""
 
-        def cost(engine: EngineEntry) -> tuple[timedelta, float]:
-            worth = self.work.backlog(engine=engine.engine) * DISTURBS
-            worth += PER_STREAM * self.work.streams(engine=engine.engine)
-            worth += self._away(engine=engine, zone=near) + self._away(engine=engine, zone=self.zone) / 2
-            return worth, self.host.random.random()
+        def cost(engine: EngineEntry) -> timedelta:
+            streams = self.work.streams(engine=engine.engine) + self.host.random.uniform(0, DRAWN_STREAMS)
+            worth = PER_STREAM_TOKEN * max(ask.tokens_out, 1) * streams
+            worth += self.work.backlog(engine=engine.engine)
+            return worth + self._away(engine=engine, zone=near) + self._away(engine=engine, zone=self.zone) / 2
 
         return min(writers, key=cost)
