Tell the others of big readings at the next pass

Cause sought: reckoned waits fall short of real ones (trial: nothing known to lie there, 39 ms reckoned as 10, 571 as 327).

--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -31,6 +31,9 @@
 PASS = timedelta(milliseconds=50)
 TELL = timedelta(milliseconds=200)
 TELL_IDLE = timedelta(milliseconds=1000)
+# So much more or less to be read anywhere is told at the next pass: within the ordinary wait the others would all
+# choose the engine that was idle last.
+TELL_AT_ONCE_MS = 60
 TELL_TO = 12
 # After SIGTERM, until the platform has seen that this daemon is not ready.
 LINGER = timedelta(milliseconds=3200)
@@ -38,6 +41,11 @@
 DIRECTORY_LIMIT = timedelta(milliseconds=800)
 
 
+def changes(*, before: dict[str, list[int]], now: dict[str, list[int]]) -> int:
+    """By how many ms of reading two summaries differ, over all engines."""
+    return sum(abs(now.get(e, [0])[0] - before.get(e, [0])[0]) for e in {*before, *now})
+
+
 class Edge:
     """Invariant: it is ready while it has a configuration and a list of engines and has not been told to stop."""
 
@@ -155,7 +163,7 @@
         return len(self.edges()) + 1
 
     def run_passes(self) -> None:
-        told_at, swept_at, last = -TELL_IDLE, ZERO, None
+        told_at, swept_at, last = -TELL_IDLE, ZERO, {}
         while True:
             self.host.sleep(wait=PASS)
             self._hear()
@@ -166,7 +174,8 @@
             now = self.host.elapsed()
             summary = self.work.summary()
             changed = summary != last or bool(self.verdicts.told())
-            if now - told_at >= (TELL if changed else TELL_IDLE):
+            wait = PASS if changes(before=last, now=summary) >= TELL_AT_ONCE_MS else TELL if changed else TELL_IDLE
+            if now - told_at >= wait:
                 self._tell(works=summary)
                 told_at, last = now, summary
             if now - swept_at >= TELL_IDLE:
--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -25,6 +25,8 @@
 # The others choose by the same numbers, which are some time old: so many streams are drawn by chance.
 DRAWN_STREAMS = 2.0
 FIRST_TOKEN = timedelta(milliseconds=15)
+# Being taken up costs a reading some time besides its tokens.
+TAKE_UP = timedelta(milliseconds=12)
 # Reading pace before any was seen, tokens a ms.
 PACE_GUESS = 40.0
 PACE_PART = 0.1
@@ -78,7 +80,7 @@
 
     def note_pace(self, *, service: str, tokens: int, span: timedelta) -> None:
         """A prompt was read while nothing else was known to lie there."""
-        took_ms = span / ms(1) - FIRST_TOKEN / ms(1) / 3
+        took_ms = (span - TAKE_UP) / ms(1)
         if tokens < PACE_LEAST_TOKENS or took_ms <= 0:
             return
         seen = min(max(tokens / took_ms, 1.0), 1000.0)
@@ -96,7 +98,7 @@
         return max(ask.tokens_in - known, 1)
 
     def span(self, *, service: str, tokens: int) -> timedelta:
-        return ms(tokens / self.pace.get(service, PACE_GUESS))
+        return TAKE_UP + ms(tokens / self.pace.get(service, PACE_GUESS))
 
     def choose(self, *, service: str, ask: Ask, engines: list[EngineEntry], avoid: set[str]) -> Pairing | None:
         """The pairing whose first token is expected first, counting what it costs others."""
