Give shared beginnings their homes at engines of one phase only

Cause: a beginning had a home among readers and one among writers, and was reckoned as kept at a writer that never read it.

--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -109,7 +109,7 @@
         if not writers:
             return None
         readers = [engine for engine in usable if engine.phase == "prefill"]
-        best = self._direct(service=service, ask=ask, writers=writers)
+        best = self._direct(service=service, ask=ask, writers=writers, alone=not readers)
         if readers and ask.tokens_in > 1:
             apart = self._apart(service=service, ask=ask, readers=readers, writers=writers)
             if apart[0] < best[0]:
@@ -120,10 +120,11 @@
         return ZERO if engine.zone == zone else OTHER_ZONE
 
     def _reading(
-        self, *, service: str, ask: Ask, engines: list[EngineEntry], slower: float
+        self, *, service: str, ask: Ask, engines: list[EngineEntry], slower: float, homes: bool
     ) -> tuple[timedelta, timedelta, EngineEntry]:  # fmt: skip
-        """The engine that would have read the prompt first: when, how long it would read, which."""
-        key = shared_key(parts=ask.parts)
+        """The engine that would have read the prompt first: when, how long it would read, which. Shared beginnings
+        have their `homes` at engines of one phase only: else they would be read once more for the other."""
+        key = shared_key(parts=ask.parts) if homes else ""
         ranked = order(key=key, engines=engines) if key else engines
         own = ask.parts[-1].tokens if ask.parts else ask.tokens_in
         rows = []
@@ -137,8 +138,10 @@
         _, _, ready, span, engine = min(rows, key=lambda row: row[:2])
         return ready, span, engine
 
-    def _direct(self, *, service: str, ask: Ask, writers: list[EngineEntry]) -> tuple[timedelta, Pairing]:
-        ready, span, engine = self._reading(service=service, ask=ask, engines=writers, slower=DIRECT_SLOWER)
+    def _direct(self, *, service: str, ask: Ask, writers: list[EngineEntry], alone: bool) -> tuple[timedelta, Pairing]:
+        ready, span, engine = self._reading(
+            service=service, ask=ask, engines=writers, slower=DIRECT_SLOWER, homes=alone
+        )
         expected = ready + FIRST_TOKEN
         pairing = Pairing(reader=None, reader_span=ZERO, writer=engine, writer_span=span, expected=expected)
         streams = self.work.streams(engine=engine.engine)
@@ -149,7 +152,7 @@
     def _apart(
         self, *, service: str, ask: Ask, readers: list[EngineEntry], writers: list[EngineEntry]
     ) -> tuple[timedelta, Pairing]:  # fmt: skip
-        ready, span, reader = self._reading(service=service, ask=ask, engines=readers, slower=1.0)
+        ready, span, reader = self._reading(service=service, ask=ask, engines=readers, slower=1.0, homes=True)
         writer = self.writer(ask=ask, writers=writers, near=reader.zone)
         expected = ready + HAND_OVER + FIRST_TOKEN
         pairing = Pairing(reader=reader, reader_span=span, writer=writer, writer_span=ZERO, expected=expected)
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -179,7 +179,8 @@
                     continue
                 record.sends += 1
                 record.ran = True
-                if span > ZERO:
+                if span > ZERO or memory is not None:
+                    # Memory that was moved there is kept there as well.
                     self._note_parts(record=record, engine=pairing.writer)
                 try:
                     for data in told.pieces():
