Move engines between reading and writing by pressure, under the head's permit

Cause: three readers of nine engines cannot read what 80 requests a second bring (191 tokens a ms against 144), while writers run 8 to 15 of 64 slots. The head hears the daemons' summaries; one engine at a time, told ahead of the order. Excluded: reading at writers (costs each of their streams).

--- a/dockmux/accord/catalogue.py
+++ b/dockmux/accord/catalogue.py
@@ -81,6 +81,12 @@
     )
     ORDERED = (4006, "info", "engine {engine} ordered to {phase} under permit {mark}", "Nothing.")
 
+    ORDER_FAILED = (
+        4007,
+        "warning",
+        "engine {engine} was not ordered to {phase}: {why}",
+        "Nothing; it is tried again when it is still wanted.",
+    )
     LIST_FAILED = (5001, "warning", "the list of engines could not be had: {error}", "Look at the platform's list.")
     LIST_CHANGED = (5002, "info", "the list of engines changed: {count} engines, {leaving} leaving", "Nothing.")
     ENGINE_FAILING = (
--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -264,6 +264,7 @@
     news: dict[str, Any] | None = None
     members: list[PeerCard] = field(default_factory=list)
     members_digest: str = ''
+    head: str = ''
 
 
 
@@ -285,6 +286,18 @@
 
 
 
+@dataclass(frozen=True, kw_only=True)
+class Moving:
+    """
+    An engine is about to be ordered into another phase; for left_ms, or until the list shows that phase, it is sent nothing new.
+    """
+    sender: PeerCard
+    engine: str
+    phase: str
+    left_ms: int
+
+
+
 @dataclass(frozen=True, kw_only=True)
 class DirectoryAsk:
     """
--- /dev/null
+++ b/dockmux/ferry/balance.py
@@ -0,0 +1,206 @@
+"""Moves engines between reading and writing; one daemon at a time, under the head's permit."""
+
+import dataclasses
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord.catalogue import Note
+from dockmux.accord.host import Host, within
+from dockmux.accord.span import ZERO, ms, to_ms
+from dockmux.accord.types import DirectoryAsk, Moving
+from dockmux.ferry.calls import WIRE_ERRORS
+from dockmux.ferry.connections import Connections
+from dockmux.ferry.deployment import Deployment
+from dockmux.ferry.dialect import Dialect, EngineEntry
+from dockmux.ferry.work import Work
+
+TICK = timedelta(milliseconds=250)
+# The daemons hear of a move so long before its order, so that what they send after has another engine.
+AHEAD = timedelta(milliseconds=150)
+ORDER_LIMIT = timedelta(milliseconds=500)
+FETCH_LIMIT = timedelta(milliseconds=800)
+# A service is left alone for so long after one of its engines was moved.
+SETTLE = timedelta(seconds=3)
+# So long is an engine counted as changing, unless the list shows its new phase before.
+CHANGING = timedelta(seconds=12)
+SMOOTH_PART = 0.3
+# What lies to be read at each reader, in ms, from which one more is wanted, and below which one can be spared.
+READ_PRESSED_MS = 100.0
+READ_IDLE_MS = 30.0
+# The part of a writer's slots that may run after it has one writer less, and from which one more is wanted.
+WRITE_AFTER = 0.4
+WRITE_PRESSED = 0.5
+LEAST = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pressure:
+    """One service's work: what lies at all readers to be read, in ms, and the streams at all writers."""
+
+    to_read_ms: float
+    streams: float
+
+
+def choose_phase(*, readers: int, writers: int, slots: int, pressure: Pressure) -> str | None:
+    """The phase that wants one more engine, if any, and the other can spare it."""
+    if writers > LEAST and (
+        readers == 0 or pressure.to_read_ms / readers > READ_PRESSED_MS
+    ) and pressure.streams / (writers - 1) < WRITE_AFTER * slots:  # fmt: skip
+        return "prefill"
+    if readers > LEAST and (
+        writers == 0 or pressure.streams / writers > WRITE_PRESSED * slots
+    ) and pressure.to_read_ms / (readers - 1) < READ_IDLE_MS:  # fmt: skip
+        return "decode"
+    return None
+
+
+class Balance:
+    """Invariants: an order leaves only while this daemon's permit as the head holds for longer than the order can be
+    on its way, and not before a whole lease has passed since any former holder's permit ended; its fence is the number
+    of the view that the permit was granted under, which no other head ever has; at most one engine of a service
+    changes at a time."""
+
+    def __init__(self, *, core: Any, deployment: Deployment, dialect: Dialect) -> None:
+        self.core = core
+        self.host: Host = core.host
+        self.deployment = deployment
+        self.dialect = dialect
+        self.work = Work(host=self.host)
+        self.rows: dict[str, EngineEntry] = {}
+        self.digest = ""
+        self.pressure: dict[str, Pressure] = {}
+        self.moved_at: dict[str, timedelta] = {}
+        self.changing: dict[str, tuple[str, timedelta]] = {}
+        self.failing: dict[str, timedelta] = {}
+
+    def in_charge(self) -> bool:
+        council = self.core.council
+        now = self.host.elapsed()
+        return (
+            council.is_head()
+            and council.under_permit()
+            and now >= council.acts_from + self.deployment.lease
+            and council.permitted_until() - now > ORDER_LIMIT
+        )
+
+    def run(self) -> None:
+        self.core.gossip.keeps_works = True
+        with Connections(host=self.host) as connections:
+            while True:
+                self.host.sleep(wait=TICK)
+                self._hear()
+                self._smooth()
+                if self.in_charge():
+                    self._balance(connections=connections)
+
+    def _hear(self) -> None:
+        works = self.core.gossip.works
+        heard, works[:] = list(works), []
+        for _, summary in heard:
+            self.work.hear(daemon=summary.sender.name, works=summary.works)
+            for engine, (well, _, left_ms) in summary.verdicts.items():
+                self.failing[engine] = self.host.elapsed() + (ZERO if well else ms(left_ms) + ms(1000))
+            if summary.list_digest and summary.list_digest != self.digest and self.core.council.is_head():
+                self._fetch(address=summary.sender.address, digest=summary.list_digest)
+
+    def _fetch(self, *, address: str, digest: str) -> None:
+        try:
+            reply = self.core.caller.call(address=address, ask=DirectoryAsk(digest=digest), wait=FETCH_LIMIT)
+            self.rows = {fields["engine"]: EngineEntry(**fields) for fields in reply.engines}
+            self.digest = reply.digest
+        except OSError:
+            return
+
+    def usable(self, *, service: str) -> list[EngineEntry]:
+        """The service's engines that are not leaving, failing or changing."""
+        now = self.host.elapsed()
+        for engine, (phase, until) in list(self.changing.items()):
+            row = self.rows.get(engine)
+            if now >= until or row is None or row.phase == phase:
+                del self.changing[engine]
+        return [
+            row
+            for row in self.rows.values()
+            if row.service == service
+            and not row.leaving
+            and row.engine not in self.changing
+            and self.failing.get(row.engine, ZERO) <= now
+        ]
+
+    def _smooth(self) -> None:
+        for service in {row.service for row in self.rows.values()}:
+            rows = [row for row in self.rows.values() if row.service == service]
+            to_read = sum((self.work.backlog(engine=r.engine) for r in rows), ZERO) / ms(1)
+            streams = float(sum(self.work.streams(engine=r.engine) for r in rows))
+            before = self.pressure.get(service, Pressure(to_read_ms=0.0, streams=0.0))
+            self.pressure[service] = Pressure(
+                to_read_ms=before.to_read_ms + SMOOTH_PART * (to_read - before.to_read_ms),
+                streams=before.streams + SMOOTH_PART * (streams - before.streams),
+            )
+
+    def _balance(self, *, connections: Connections) -> None:
+        for service in sorted(self.pressure):
+            now = self.host.elapsed()
+            if now - self.moved_at.get(service, -SETTLE) < SETTLE:
+                continue
+            rows = self.usable(service=service)
+            if any(self.rows[engine].service == service for engine in self.changing if engine in self.rows):
+                continue
+            readers = [row for row in rows if row.phase == "prefill"]
+            writers = [row for row in rows if row.phase == "decode"]
+            slots = max((row.slots for row in rows), default=0)
+            phase = choose_phase(
+                readers=len(readers), writers=len(writers), slots=slots, pressure=self.pressure[service]
+            )  # fmt: skip
+            if phase is None:
+                continue
+            givers = writers if phase == "prefill" else readers
+            engine = min(givers, key=self._weight)
+            self.moved_at[service] = now
+            self._move(engine=engine, phase=phase, connections=connections)
+
+    def _weight(self, engine: EngineEntry) -> tuple[timedelta, int, str]:
+        name = engine.engine
+        return self.work.backlog(engine=name), self.work.streams(engine=name), name
+
+    def _move(self, *, engine: EngineEntry, phase: str, connections: Connections) -> None:
+        self._tell(engine=engine, phase=phase, left=CHANGING)
+        self.host.sleep(wait=AHEAD)
+        if not self.in_charge():
+            return
+        fence = self.core.council.view.number
+        body = self.dialect.phase_order(phase=phase, owner=self.host.name, fence=fence)
+        status = 0
+        try:
+            with (
+                within(wait=ORDER_LIMIT),
+                connections.open(engine=engine.engine, address=engine.address) as stream,
+            ):
+                if not self.in_charge():
+                    return
+                stream.request(
+                    "POST", self.dialect.order_path, body=body, headers=self.dialect.order_headers(engine=engine),
+                    preload_content=False,
+                )  # fmt: skip
+                response = stream.getresponse()
+                response.read()
+                status = response.status
+                connections.note_whole(stream=stream, keep=None, closing=True)
+        except WIRE_ERRORS as error:
+            self.host.log(Note.ORDER_FAILED, engine=engine.engine, phase=phase, why=error)
+        if status in (200, 202):
+            self.changing[engine.engine] = (phase, self.host.elapsed() + CHANGING)
+            self.host.log(Note.ORDERED, engine=engine.engine, phase=phase, mark=fence)
+        elif status:
+            self.host.log(Note.ORDER_FAILED, engine=engine.engine, phase=phase, why=f"answered {status}")
+            self._tell(engine=engine, phase=engine.phase, left=ZERO)
+
+    def _tell(self, *, engine: EngineEntry, phase: str, left: timedelta) -> None:
+        """Datagrams may be lost: told twice."""
+        message = Moving(sender=self.core.peers.me(), engine=engine.engine, phase=phase, left_ms=to_ms(left))
+        send: Callable[..., None] = self.core.gossip.send
+        for _ in range(2):
+            for card in {c.address: c for c in self.core.peers.live() + self.core.chain.own_sessions()}.values():
+                if card.role == "edge":
+                    send(address=card.address, message=message)
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -87,6 +87,7 @@
                 work=self.work, placement=self.placement, verdicts=self.verdicts, budget=self.budget,
                 clock=self.gossip.clock, daemons=self.daemons,
             )  # fmt: skip
+            self.gossip.keeps_works = True
             self.fetching = False
             self.looking: set[str] = set()
             desk = Desk(
@@ -188,6 +189,9 @@
 
     def _hear(self) -> None:
         self.gossip.summaries.clear()
+        moving, self.gossip.moving[:] = list(self.gossip.moving), []
+        for arrived, message in moving:
+            self.table.moving[message.engine] = (message.phase, arrived + ms(message.left_ms))
         heard, self.gossip.works[:] = list(self.gossip.works), []
         for arrived, summary in heard:
             name = summary.sender.name
@@ -218,6 +222,8 @@
         chosen = edges if everyone else self.host.random.sample(edges, min(TELL_TO, len(edges)))
         for card in chosen:
             self.gossip.send(address=card.address, message=summary)
+        if self.tracker.head:
+            self.gossip.send(address=self.tracker.head, message=summary)
 
     # The list of engines.
 
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -38,7 +38,8 @@
 class Table:
     """Invariants: a record is in the table from its admission to its last byte; a request that may have run and may
     not be repeated is sent to no other engine and never refused; each send that is not a request's first is taken
-    from the budget first; an engine is looked up in the newest list just before each send."""
+    from the budget first; an engine is looked up in the newest list just before each send; `moving` names engines that
+    change their phase, which get nothing new until the list shows it or the time is over."""
 
     def __init__(
         self, *, host: Host, dialect: Dialect, tracker: Tracker, directory: Directory, calls: Calls, work: Work,
@@ -61,6 +62,7 @@
         self.draining = False
         self.last_key = 0
         self.to_forget: list[Memory] = []
+        self.moving: dict[str, tuple[str, timedelta]] = {}
 
     @property
     def open(self) -> int:
@@ -242,7 +244,16 @@
 
     def engines(self, *, service: str) -> list[EngineEntry]:
         """Those that may get new work."""
-        return [row for row in self.directory.rows.values() if row.service == service and not row.leaving]
+        now = self.host.elapsed()
+        for engine, (phase, until) in list(self.moving.items()):
+            row = self.directory.rows.get(engine)
+            if now >= until or row is None or row.phase == phase:
+                del self.moving[engine]
+        return [
+            row
+            for row in self.directory.rows.values()
+            if row.service == service and not row.leaving and row.engine not in self.moving
+        ]
 
     def _usable(self, *, engine: EngineEntry) -> bool:
         row = self.directory.rows.get(engine.engine)
--- a/dockmux/ferry/tracker.py
+++ b/dockmux/ferry/tracker.py
@@ -38,6 +38,7 @@
         self.digest = "none"
         self.granted_at = -ms(10_000_000)
         self.settled = False
+        self.head = ""
 
     @property
     def mark(self) -> int:
@@ -79,6 +80,7 @@
         if reply.granted:
             self.granted_at = self.host.elapsed()
             self.settled = True
+            self.head = reply.head
         return reply.granted
 
     def take(self, *, reply: NewsReply) -> None:
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -57,6 +57,8 @@
         )  # fmt: skip
         self.peers = Peers(host=host, settings=settings, card=card)
         # What operators speak, where it is not this product's own interface.
+        # Further tasks of this daemon, which look at the permit themselves.
+        self.duties: list[Callable[[], None]] = []
         self.office: Callable[[Visit], Iterable[bytes]] = self.site
 
     @contextlib.contextmanager
@@ -74,7 +76,7 @@
             Links(host=host) as links,
             Crew(host=host) as crew,
         ):
-            self.crew = crew
+            self.crew, self.caller = crew, caller
             self.gossip = Gossip(host=host, settings=settings, peers=self.peers, port=port)
             self.council = Council(
                 host=host, settings=settings, vault=self.vault, peers=self.peers, caller=caller, crew=crew
@@ -108,6 +110,8 @@
                 self.spread.run, self.run_duties, conductor.run,
             ):  # fmt: skip
                 crew.keep(task=task)
+            for duty in self.duties:
+                crew.keep(task=duty)
             crew.start(task=council.run_found)
             crew.keep(task=serve, host=host, listener=web_listener, site=self.office)
             host.log(Note.STARTED, role="core", name=settings.name, address=settings.address)
@@ -164,8 +168,15 @@
             news=state.news(since=since, newest=ask.newest) if state.news_mark > since else None,
             members=members if digest != ask.members else [],
             members_digest=digest,
+            head=self._head_address() if ask.members else "",
         )
 
+    def _head_address(self) -> str:
+        view = self.council.view
+        if view is None:
+            return ""
+        return self.settings.address if self.council.is_head() else self.council.address(disk=view.chain[0]) or ""
+
     # HTTP for operators and the platform.
 
     def site(self, visit: Visit) -> list[bytes]:
--- a/dockmux/tempo/gossip.py
+++ b/dockmux/tempo/gossip.py
@@ -11,7 +11,7 @@
 from dockmux.accord.host import Host
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import UNBOUNDED, ZERO, from_instant_us, instant_us, ms, to_ms, to_us, us
-from dockmux.accord.types import ClockAsk, ClockReply, PeerCard, UsageSummary, WorkSummary
+from dockmux.accord.types import ClockAsk, ClockReply, Moving, PeerCard, UsageSummary, WorkSummary
 from dockmux.tempo.clock import Clock, Sample
 from dockmux.tempo.peers import Peers
 from dockmux.tempo.rate import ONE_CYCLE, Rate
@@ -38,16 +38,15 @@
         self.asked: dict[str, tuple[timedelta, str]] = {}
         self.blank: dict[str, timedelta] = {}
         self.summaries: list[UsageSummary] = []
+        # Kept only where a task takes them out.
+        self.keeps_works = False
+        self.moving: list[tuple[timedelta, Moving]] = []
         self.works: list[tuple[timedelta, WorkSummary]] = []
 
     def ready(self) -> bool:
         """Whether the time may be used for new work."""
         return self.clock.bound() <= ms(self.settings.boundLimitMs)
 
-    @property
-    def card_role(self) -> str:
-        return self.peers.me().role
-
     def run_asking(self) -> None:
         """One exchange, then the wait that the rate gives, for ever. The wait is looked at again every
         pulse, so that a freeze or a first sample changes it at once."""
@@ -111,8 +110,10 @@
                 self._take(reply=message, address=address, arrived=arrived)
             elif isinstance(message, UsageSummary):
                 self.summaries.append(message)
-            elif isinstance(message, WorkSummary) and self.card_role == "edge":
+            elif isinstance(message, WorkSummary) and self.keeps_works:
                 self.works.append((arrived, message))
+            elif isinstance(message, Moving) and self.keeps_works:
+                self.moving.append((arrived, message))
             self._hear(sender=message.sender, address=address, peers=getattr(message, "peers", []))
 
     def _hear(self, *, sender: PeerCard, address: str, peers: list[PeerCard]) -> None:
