--- a/dockmux/ferry/balance.py
+++ b/dockmux/ferry/balance.py
@@ -20,8 +20,8 @@
 AHEAD = timedelta(milliseconds=150)
 ORDER_LIMIT = timedelta(milliseconds=500)
 FETCH_LIMIT = timedelta(milliseconds=800)
-# A service is left alone for so long after one of its engines was moved.
-SETTLE = timedelta(seconds=3)
+# A service is left alone for so long after one of its engines was ordered to move.
+SETTLE = timedelta(seconds=1)
 # So long is an engine counted as changing, unless the list shows its new phase before.
 CHANGING = timedelta(seconds=12)
 SMOOTH_PART = 0.3
@@ -32,6 +32,8 @@
 WRITE_AFTER = 0.4
 WRITE_PRESSED = 0.5
 LEAST = 2
+# The part of a service's engines that may change at a time, at least one.
+CHANGING_PART = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,8 +60,8 @@
 class Balance:
     """Invariants: an order leaves only while this daemon's permit as the head holds for longer than the order can be
     on its way, and not before a whole lease has passed since any former holder's permit ended; its fence is the number
-    of the view that the permit was granted under, which no other head ever has; at most one engine of a service
-    changes at a time."""
+    of the view that the permit was granted under, which no other head ever has; only a part of a service's engines
+    changes at a time, and they are counted as what they become."""
 
     def __init__(self, *, core: Any, deployment: Deployment, dialect: Dialect) -> None:
         self.core = core
@@ -145,17 +147,22 @@
             if now - self.moved_at.get(service, -SETTLE) < SETTLE:
                 continue
             rows = self.usable(service=service)
-            if any(self.rows[engine].service == service for engine in self.changing if engine in self.rows):
+            becoming = [phase for e, (phase, _) in self.changing.items() if self.rows[e].service == service]
+            if len(becoming) >= max(CHANGING_PART * (len(rows) + len(becoming)), 1):
                 continue
             readers = [row for row in rows if row.phase == "prefill"]
             writers = [row for row in rows if row.phase == "decode"]
-            slots = max((row.slots for row in rows), default=0)
             phase = choose_phase(
-                readers=len(readers), writers=len(writers), slots=slots, pressure=self.pressure[service]
-            )  # fmt: skip
+                readers=len(readers) + becoming.count("prefill"),
+                writers=len(writers) + becoming.count("decode"),
+                slots=max((row.slots for row in rows), default=0),
+                pressure=self.pressure[service],
+            )
             if phase is None:
                 continue
             givers = writers if phase == "prefill" else readers
+            if len(givers) <= LEAST - 1:
+                continue
             engine = min(givers, key=self._weight)
             self.moved_at[service] = now
             self._move(engine=engine, phase=phase, connections=connections)
--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -13,9 +13,9 @@
 # A writing engine reads between the tokens of others: half as fast.
 DIRECT_SLOWER = 2.0
 # Each of the streams that run beside it is held up by it: what that is worth, as a part of the reading time.
-DISTURBS = 0.25
+DISTURBS = 0.15
 # Handing over costs two calls, a move of memory, and what they cost besides.
-HAND_OVER = timedelta(milliseconds=25)
+HAND_OVER = timedelta(milliseconds=40)
 OTHER_ZONE = timedelta(milliseconds=6)
 # What reading a shared part again, though an engine keeps it, and moving memory are worth, per token.
 READ_AGAIN = timedelta(microseconds=100)
