--- a/dockmux/ferry/balance.py
+++ b/dockmux/ferry/balance.py
@@ -25,12 +25,13 @@
 # So long is an engine counted as changing, unless the list shows its new phase before.
 CHANGING = timedelta(seconds=12)
 SMOOTH_PART = 0.3
-# What lies to be read at each reader, in ms, from which one more is wanted, and below which one can be spared.
+# What lies to be read at each reader, in ms, from which one more is wanted, and up to which one can be spared to
+# writers that are pressed themselves.
 READ_PRESSED_MS = 100.0
-READ_IDLE_MS = 30.0
+READ_SPARES_MS = 400.0
 # The part of a writer's slots that may run after it has one writer less, and from which one more is wanted.
-WRITE_AFTER = 0.4
-WRITE_PRESSED = 0.5
+WRITE_AFTER = 0.33
+WRITE_PRESSED = 0.45
 LEAST = 2
 # The part of a service's engines that may change at a time, at least one.
 CHANGING_PART = 0.25
@@ -46,13 +47,15 @@
 
 def choose_phase(*, readers: int, writers: int, slots: int, pressure: Pressure) -> str | None:
     """The phase that wants one more engine, if any, and the other can spare it."""
-    if writers > LEAST and (
-        readers == 0 or pressure.to_read_ms / readers > READ_PRESSED_MS
-    ) and pressure.streams / (writers - 1) < WRITE_AFTER * slots:  # fmt: skip
+    to_read_ms = pressure.to_read_ms / max(readers, 1)
+    running = pressure.streams / (max(writers, 1) * max(slots, 1))
+    if writers < LEAST and readers > LEAST:
+        return "decode"
+    if readers < LEAST and writers > LEAST:
+        return "prefill"
+    if writers > LEAST and to_read_ms > READ_PRESSED_MS and running * writers / (writers - 1) < WRITE_AFTER:
         return "prefill"
-    if readers > LEAST and (
-        writers == 0 or pressure.streams / writers > WRITE_PRESSED * slots
-    ) and pressure.to_read_ms / (readers - 1) < READ_IDLE_MS:  # fmt: skip
+    if readers > LEAST and running > WRITE_PRESSED and to_read_ms < READ_SPARES_MS:
         return "decode"
     return None
 
--- a/dockmux/ferry/budget.py
+++ b/dockmux/ferry/budget.py
@@ -10,25 +10,31 @@
 # A window of the rule is cut into so many of the clock's; a sum over the windows that a span can touch covers it.
 CUTS = 10
 # The part of the fixed allowance that every daemon may use without knowing of the others.
-ALONE_PART = 0.5
+ALONE_PART = 0.35
+# The part that all draw on. With what a former life of every daemon may have used alone, the sum is the whole.
+POOL_PART = 0.3
+# A daemon's life begins without knowing the others.
+ALONE_FROM = timedelta(seconds=2)
 
 
 class Budget:
     """Any span of the rule's window may hold `ratio` x requests + `extra` extra sends, summed over all daemons.
 
     Invariants:
-    - `own` holds the times of this daemon's extra sends and `asked` those of its requests, monotonic, newest last;
-      the ratio's part is used only against this daemon's own requests, so the fleet's sum keeps to it;
-    - the fixed part is split: one half stands to each daemon alone, an equal share each; the other is drawn on by all,
+    - `own` holds the times of the extra sends that this daemon may make alone and `asked` those of its requests,
+      monotonic, newest last; the ratio's part is used only against this daemon's own requests, so the fleet's sum
+      keeps to it; in a life's first window nothing is drawn, for what an earlier life drew is not known;
+    - the fixed part is split: a part stands to each daemon alone, an equal share each; another is drawn on by all,
       and what all drew is known by `spent`: by daemon, window of the shared time and service;
     - in one window of the shared time a daemon draws no more than its equal share of what it knows to be left, so that
       draws which do not know of each other cannot go over it;
     - while the shared time is not bounded tightly enough to name a window, nothing is drawn.
     """
 
-    def __init__(self, *, deployment: Deployment) -> None:
+    def __init__(self, *, deployment: Deployment, born: timedelta) -> None:
         self.deployment = deployment
         self.cut = deployment.retry_window / CUTS
+        self.born = born
         self.own: dict[str, deque[timedelta]] = defaultdict(deque)
         self.asked: dict[str, deque[timedelta]] = defaultdict(deque)
         self.drawn: dict[str, dict[int, int]] = defaultdict(dict)
@@ -49,6 +55,11 @@
         """A send turned out to be an extra one only after it was made."""
         self.own[service].append(now)
 
+    def give_back(self, *, service: str) -> None:
+        """One that was taken turned out to be no extra send, as a first reading that was taken up."""
+        if self.own[service]:
+            self.own[service].pop()
+
     def take(
         self, *, service: str, daemons: int, now: timedelta, time: datetime | None, bound: timedelta
     ) -> bool:  # fmt: skip
@@ -58,12 +69,12 @@
         # A little longer than the rule's window: what is sent now arrives a little later.
         mine = self._count(times=self.own[service], now=now, span=rule.retry_window * 1.05)
         asked = self._count(times=self.asked[service], now=now, span=rule.retry_window * 0.9)
-        alone = int(rule.retry_ratio * asked * 0.9) + int(rule.retry_extra * ALONE_PART / max(daemons, 1))
-        drew = sum(self.drawn[service].values())
-        if mine - drew < alone:
+        fixed = int(rule.retry_extra * ALONE_PART / max(daemons, 1)) if now - self.born > ALONE_FROM else 0
+        alone = int(rule.retry_ratio * asked * 0.9) + fixed
+        if mine < alone:
             self.own[service].append(now)
             return True
-        if time is None or bound >= self.cut / 2:
+        if time is None or bound >= self.cut / 2 or now - self.born <= rule.retry_window:
             return False
         window = self.window(time=time)
         # Spans that reach into the present touch these windows, whichever way this clock is off.
@@ -74,12 +85,11 @@
         known = sum(self.drawn[service].values())
         for rows in self.spent.values():
             known += sum(count for w, count in rows.get(service, {}).items() if w >= window - reach)
-        left = int(rule.retry_extra * (1 - ALONE_PART)) - known
+        left = int(rule.retry_extra * POOL_PART) - known
         # What the others draw in this window and the last is not known yet.
         if self.drawn[service].get(window, 0) >= left // (2 * max(daemons, 1)):
             return False
         self.drawn[service][window] = self.drawn[service].get(window, 0) + 1
-        self.own[service].append(now)
         return True
 
     def told(self) -> dict[str, dict[str, int]]:
--- a/dockmux/ferry/calls.py
+++ b/dockmux/ferry/calls.py
@@ -169,7 +169,7 @@
     def well(self, *, engine: EngineEntry, path: str) -> bool:
         """Whether the engine says that it is well."""
         told = self._small(engine=engine.engine, address=engine.address, method="GET", path=path)
-        return told is not None and told[0] == 200
+        return told is not None and told[0] == 200 and told[2].engine == engine.engine
 
     def report(self, *, engine: EngineEntry) -> Report | None:
         told = self._small(
@@ -180,7 +180,7 @@
         except WIRE_ERRORS:
             return None
 
-    def _small(self, *, engine: str, address: str, method: str, path: str) -> tuple[int, bytes] | None:
+    def _small(self, *, engine: str, address: str, method: str, path: str) -> tuple[int, bytes, Told] | None:
         try:
             with within(wait=SMALL_LIMIT), self.connections.open(engine=engine, address=address) as stream:
                 stream.request(method, path, preload_content=False)
@@ -188,6 +188,6 @@
                 data = response.read()
                 told = self.dialect.told(status=response.status, headers=list(response.headers.iteritems()))
                 self.connections.note_whole(stream=stream, keep=told.keep, closing=told.closing)
-                return response.status, data
+                return response.status, data, told
         except WIRE_ERRORS:
             return None
--- a/dockmux/ferry/dialect.py
+++ b/dockmux/ferry/dialect.py
@@ -57,12 +57,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Told:
-    """What the head of an engine's answer says. `not_run` promises that the request was not run."""
+    """What the head of an engine's answer says. `not_run` promises that the request was not run; `engine` is the name
+    that a health answer gives."""
 
     request_id: str
     sealed: bool
     not_run: bool
     other_engine: bool
+    engine: str
     encoded: bool
     closing: bool
     keep: timedelta | None
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -79,7 +79,7 @@
             self.directory = Directory(host=host, deployment=deployment, dialect=self.dialect)
             self.verdicts = Verdicts(host=host)
             self.work = Work(host=host)
-            self.budget = Budget(deployment=deployment)
+            self.budget = Budget(deployment=deployment, born=host.elapsed())
             self.placement = Placement(host=host, zone=settings.site, work=self.work)
             self.calls = Calls(host=host, dialect=self.dialect, connections=connections)
             self.table = Table(
@@ -257,7 +257,7 @@
     # Engines that were found failing, and memory that nobody takes.
 
     def _look_at_failing(self) -> None:
-        for engine in self.verdicts.to_look_at():
+        for engine in {*self.verdicts.to_look_at(), *self.table.silent()}:
             row = self.directory.rows.get(engine)
             if row is not None and engine not in self.looking:
                 self.looking.add(engine)
--- a/dockmux/ferry/routes.py
+++ b/dockmux/ferry/routes.py
@@ -75,8 +75,8 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouteTable:
-    """One version of the configuration. Invariants: every share names a service; no two routes share host and
-    prefix; of two versions the later has the higher number."""
+    """One version of the configuration; BadConfig where it cannot be one. Invariants: every share names a service; no
+    two routes share host and prefix; of two versions the later has the higher number."""
 
     version: int
     routes: tuple[Route, ...]
@@ -84,6 +84,7 @@
     limits: Limits
 
     def __post_init__(self) -> None:
+        self._check()
         hosts: dict[str, list[Route]] = {}
         for route in self.routes:
             hosts.setdefault(route.host, []).append(route)
@@ -91,6 +92,26 @@
             rows.sort(key=lambda route: len(route.prefix), reverse=True)
         object.__setattr__(self, "_hosts", hosts)
 
+    def _check(self) -> None:
+        if not isinstance(self.version, int) or isinstance(self.version, bool) or self.version < 1:
+            raise BadConfig("the version is no whole number above 0")
+        for route in self.routes:
+            if not all(isinstance(text, str) for text in (route.name, route.host, route.prefix)):
+                raise BadConfig(f"route {route.name}: name, host and prefix are texts")
+            if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+                raise BadConfig(f"route {route.name}: a prefix begins and ends with a slash")
+            for service, weight in route.shares:
+                if not isinstance(service, str) or service not in self.services:
+                    raise BadConfig(f"route {route.name} names an unknown service")
+                if not isinstance(weight, int) or isinstance(weight, bool) or weight < 0:
+                    raise BadConfig(f"route {route.name}: a weight is a whole number from 0")
+            if sum(weight for _, weight in route.shares) <= 0:
+                raise BadConfig(f"route {route.name}: the weights sum to 0")
+            if route.hold <= timedelta():
+                raise BadConfig(f"route {route.name}: the time-out is 0")
+        if len({(route.host, route.prefix) for route in self.routes}) != len(self.routes):
+            raise BadConfig("two routes share host and prefix")
+
     def find(self, *, host: str, path: str) -> Route | None:
         """Among the host's routes the one with the longest prefix that begins the path."""
         for route in self._hosts.get(host, ()):
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -29,6 +29,10 @@
 # When to come back where nothing was run.
 RETRY_MS = 250
 READS_MOST = 2
+# An engine that has given no sign for so long is asked whether it is well.
+# Readings count as being turned away for so long after one was.
+TURNED_FOR = timedelta(seconds=2)
+QUIET = timedelta(milliseconds=1500)
 
 
 class CutAnswer(OSError):
@@ -39,7 +43,8 @@
     """Invariants: a record is in the table from its admission to its last byte; a request that may have run and may
     not be repeated is sent to no other engine and never refused; each send that is not a request's first is taken
     from the budget first; an engine is looked up in the newest list just before each send; `moving` names engines that
-    change their phase, which get nothing new until the list shows it or the time is over."""
+    change their phase, which get nothing new until the list shows it or the time is over; `signs` is when an engine
+    last gave one, or was last asked for want of one."""
 
     def __init__(
         self, *, host: Host, dialect: Dialect, tracker: Tracker, directory: Directory, calls: Calls, work: Work,
@@ -62,6 +67,8 @@
         self.draining = False
         self.last_key = 0
         self.to_forget: list[Memory] = []
+        self.turned_at = -TURNED_FOR
+        self.signs: dict[str, timedelta] = {}
         self.moving: dict[str, tuple[str, timedelta]] = {}
 
     @property
@@ -92,6 +99,15 @@
                 record.why = "its engine is silent and found failing"
                 self._cut_loose(record=record)
 
+    def silent(self) -> set[str]:
+        """Engines that keep requests waiting and have given no sign to any for long: their health is to be asked."""
+        now = self.host.elapsed()
+        waiting = {r.engine for r in self.records.values() if r.wire is not None and now - r.since > QUIET}
+        quiet = {engine for engine in waiting if now - self.signs.get(engine, ZERO) > QUIET}
+        for engine in quiet:
+            self.signs[engine] = now
+        return {engine for engine in quiet if not self.verdicts.failing(engine=engine)}
+
     def _cut_loose(self, *, record: Record) -> None:
         """Wakes the task that waits on the connection; it finds the connection ended."""
         sock = getattr(record.wire, "sock", None)
@@ -154,10 +170,11 @@
                 break
             memory = None
             if pairing.reader is not None:
-                if not self._take_extra(record=record, first=record.reads == 0):
-                    kind, why = Kind.BUSY, "no extra send is left"
-                    break
-                memory = self._read(record=record, pairing=pairing)
+                taken = self._may_read(record=record)
+                if taken is None:
+                    record.reads = READS_MOST
+                    continue
+                memory = self._read(record=record, pairing=pairing, taken=taken)
                 if memory is None or not self._usable(engine=pairing.writer):
                     self._drop(memory=memory)
                     continue
@@ -187,7 +204,7 @@
                 try:
                     for data in told.pieces():
                         reading.close()
-                        record.since = self.host.elapsed()
+                        record.since = self.signs[pairing.writer.engine] = self.host.elapsed()
                         given = data if events is None else events.feed(data=data)
                         if not begun:
                             begun = True
@@ -270,12 +287,26 @@
             well = [engine for engine in well if engine.phase != "prefill"]
         return self.placement.choose(service=record.service, ask=record.ask, engines=well, avoid=record.avoid)
 
-    def _read(self, *, record: Record, pairing: Pairing) -> Memory | None:
+    def _may_read(self, *, record: Record) -> bool | None:
+        """Whether an extra send was taken for a reading; None when it may not be sent. A first reading is none if it
+        is taken up and one if it is turned away: while readings are turned away, each is taken until that is known."""
+        if record.reads == 0 and self.host.elapsed() - self.turned_at > TURNED_FOR:
+            return False
+        return True if self._take_extra(record=record, first=False) else None
+
+    def _read(self, *, record: Record, pairing: Pairing, taken: bool) -> Memory | None:
         engine = pairing.reader
         idle = self.work.backlog(engine=engine.engine) <= ZERO
         began = self.host.elapsed()
         with self.work.reading(engine=engine.engine, span=pairing.reader_span):
             told = self.calls.read(record=record, engine=engine)
+        if isinstance(told, TurnedAway):
+            self.turned_at = self.host.elapsed()
+            if not taken:
+                self.budget.charge(service=record.service, now=self.turned_at)
+        elif taken and (record.reads == 0 or isinstance(told, Unsent)):
+            self.budget.give_back(service=record.service)
+        self.signs[engine.engine] = self.host.elapsed()
         if isinstance(told, Memory):
             record.reads += 1
             span = self.host.elapsed() - began
@@ -288,9 +319,7 @@
         if not isinstance(told, Unsent):
             record.reads += 1
         if isinstance(told, TurnedAway):
-            # Only a reading that is taken up is free.
             record.reads = READS_MOST
-            self.budget.charge(service=record.service, now=self.host.elapsed())
         self._judge_engine(record=record, engine=engine, told=told)
         return None
 
--- a/dockmux/ferry/verdicts.py
+++ b/dockmux/ferry/verdicts.py
@@ -10,6 +10,7 @@
 
 FIRST_WAIT = timedelta(milliseconds=800)
 LONGEST_WAIT = timedelta(seconds=6)
+FAILS_MOST = 8
 KEPT = timedelta(seconds=20)
 RENEWED = timedelta(seconds=3)
 
@@ -43,7 +44,11 @@
     def note_failure(self, *, engine: str, why: str) -> None:
         now = self.host.elapsed()
         row = self.rows.get(engine)
-        fails = 1 if row is None or row.well else row.fails + 1
+        if row is not None and not row.well and row.mine and now < row.until:
+            # Requests that failed together are one sight; only one after the wait counts anew.
+            row.seen_at = now
+            return
+        fails = 1 if row is None or row.well else min(row.fails + 1, FAILS_MOST)
         wait = min(FIRST_WAIT * 2 ** (fails - 1), LONGEST_WAIT)
         wait = wait * self.host.random.uniform(0.8, 1.2)
         if row is None or row.well:
--- a/dockmux/omen/stream.py
+++ b/dockmux/omen/stream.py
@@ -238,6 +238,10 @@
     # Ending.
 
     def shutdown(self, how: int) -> None:
+        if how != 1:
+            # A reader on this side finds the end, too.
+            self.ended = True
+            self._wake()
         if not self.shut:
             self.shut = True
             if not self.broken:
--- a/tests/budget_test.py
+++ b/tests/budget_test.py
@@ -18,7 +18,9 @@
 
 
 def _budget(*, extra: int = 60, ratio: float = 0.0) -> Budget:
-    return Budget(deployment=Deployment(retry_ratio=ratio, retry_window=WINDOW, retry_extra=extra))
+    return Budget(
+        deployment=Deployment(retry_ratio=ratio, retry_window=WINDOW, retry_extra=extra), born=-timedelta(hours=1)
+    )
 
 
 def _drain(
