--- a/dockmux/rumour/spread.py
+++ b/dockmux/rumour/spread.py
@@ -82,6 +82,9 @@
         summary = UsageSummary(sender=peers.card, engines=self.table.summary(), peers=peers.few()[:3])
         targets = [card.address for card in live] or peers.contacts()
         chosen = self.host.random.sample(targets, min(SPREAD_TO, len(targets)))
+        if peers.card.role == "core":
+            # Control daemons know each other by this alone: among many peers a drawn few would miss them for too long.
+            chosen += [card.address for card in live if card.role == "core" and card.address not in chosen]
         probe = peers.probe()
         for address in [*chosen, probe] if probe and probe not in chosen else chosen:
             self.gossip.send(address=address, message=summary)
