--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -183,10 +183,11 @@
 @dataclass(frozen=True, kw_only=True)
 class ConfirmAsk:
     """
-    A member asks the tail what is acknowledged; control daemons tell each other their sessions.
+    A member asks the tail what is acknowledged; control daemons tell each other the sessions that were renewed. sinceUs is the untilUs of this tail's last answer; 0 asks for every session.
     """
     number: int
     sessions: list[PeerCard]
+    sinceUs: int = 0
 
 
 
@@ -196,6 +197,7 @@
     mark: int
     view: View | None = None
     sessions: list[PeerCard] = field(default_factory=list)
+    untilUs: int = 0
 
 
 
--- a/dockmux/pact/chain.py
+++ b/dockmux/pact/chain.py
@@ -12,7 +12,7 @@
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.ledger import Unsure
 from dockmux.accord.settings_type import Settings
-from dockmux.accord.span import ZERO, instant_us, ms, to_us
+from dockmux.accord.span import UNBOUNDED, ZERO, instant_us, ms, to_us, us
 from dockmux.accord.types import (
     Append,
     Appended,
@@ -49,6 +49,16 @@
     mark: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shared:
+    """What this member and a tail have told each other of sessions. Invariant: all that was renewed here before `upto`
+    is known there, and all that had reached it before `untilUs`, on its monotonic clock, is known here."""
+
+    tail: str
+    upto: timedelta
+    untilUs: int
+
+
 class Chain:
     """One member's part of the chain.
 
@@ -62,7 +72,9 @@
     - `followed` is the view and the mark up to which the successor has acknowledged under it;
     - `handed` is the snapshot that is being handed to a core that comes in, one at a time;
     - `learned` says since when a configuration is known here to be acknowledged;
-    - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`.
+    - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`;
+    - `renewed_at` says when each session was last renewed here by its own daemon, `reached_at` when its newest renewal
+      reached this member, by whatever way; neither holds a session that `sessions` lacks once this was tidied.
     """
 
     def __init__(
@@ -99,6 +111,9 @@
         self.pushed_at = host.elapsed()
         self.disk_busy_since: timedelta | None = None
         self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
+        self.renewed_at: dict[str, timedelta] = {}
+        self.reached_at: dict[str, timedelta] = {}
+        self.shared = Shared(tail="", upto=ZERO, untilUs=0)
         self._note_learned()
 
     def _plan(self) -> State:
@@ -429,15 +444,25 @@
             council = self.council
             if not council.member() or council.is_tail():
                 continue
-            address = council.address(disk=council.view.chain[-1])
+            tail = council.view.chain[-1]
+            address = council.address(disk=tail)
             if address is None:
                 continue
+            if self.shared.tail != tail:
+                self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
             sent = self.host.elapsed()
-            ask = ConfirmAsk(number=council.view.number, sessions=self.own_sessions())
+            ask = ConfirmAsk(
+                number=council.view.number,
+                sessions=self.own_sessions(since=self.shared.upto, at=self.renewed_at),
+                sinceUs=self.shared.untilUs,
+            )
             try:
                 reply = self.caller.call(address=address, ask=ask, wait=council.permit / 2)
             except OSError:
+                # It may have been begun anew: then it holds nothing of what it was told.
+                self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
                 continue
+            self.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
             council.learn(view=reply.view)
             if reply.granted and council.view.number == ask.number and reply.mark <= self.synced:
                 self._acknowledge(mark=reply.mark)
@@ -449,17 +474,23 @@
         self._hear_sessions(cards=ask.sessions)
         view = council.view
         granted = view is not None and view.number == ask.number and self.acting_tail()
+        now = self.host.elapsed()
+        # A mark from before this machine's monotonic time began again says nothing.
+        since = us(ask.sinceUs) if us(ask.sinceUs) <= now else ZERO
         return ConfirmReply(
             granted=granted,
             mark=self.state.mark,
             view=view if view is not None and view.number > ask.number else None,
-            sessions=self.own_sessions(),
+            sessions=self.own_sessions(since=since, at=self.reached_at),
+            untilUs=to_us(now),
         )
 
     # Sessions of data daemons.
 
     def note_session(self, *, card: PeerCard) -> None:
-        self.sessions[card.name] = (card, self.host.elapsed() - ms(card.ageMs))
+        now = self.host.elapsed()
+        self.sessions[card.name] = (card, now - ms(card.ageMs))
+        self.renewed_at[card.name] = self.reached_at[card.name] = now
 
     def _hear_sessions(self, *, cards: list[PeerCard]) -> None:
         for card in cards:
@@ -467,15 +498,20 @@
             known = self.sessions.get(card.name)
             if known is None or known[1] < heard:
                 self.sessions[card.name] = (card, heard)
+                self.reached_at[card.name] = self.host.elapsed()
 
-    def own_sessions(self) -> list[PeerCard]:
-        """Every session that stands, wherever it was renewed, with its age."""
+    def own_sessions(self, *, since: timedelta = ZERO, at: dict[str, timedelta] | None = None) -> list[PeerCard]:
+        """Every session that stands, wherever it was renewed, with its age; of those in `at` only, and noted there at
+        `since` or later, when it is given."""
         now = self.host.elapsed()
         limit = ms(self.settings.peerSilenceMs)
-        self.sessions = {n: (c, heard) for n, (c, heard) in self.sessions.items() if now - heard < limit}
+        for name in [name for name, (_, heard) in self.sessions.items() if now - heard >= limit]:
+            del self.sessions[name], self.reached_at[name]
+            self.renewed_at.pop(name, None)
+        names = self.sessions if at is None else [name for name in self.sessions if at.get(name, -UNBOUNDED) >= since]
         return [
             dataclasses.replace(card, ageMs=(now - heard) // ms(1))
-            for card, heard in sorted(self.sessions.values(), key=lambda s: s[0].name)
+            for card, heard in (self.sessions[name] for name in sorted(names))
         ]
 
     # Coming in, or back in, at the tail.
