--- a/dockmux/ferry/directory.py
+++ b/dockmux/ferry/directory.py
@@ -25,7 +25,7 @@
 
 
 def digest_of(*, rows: dict[str, EngineEntry]) -> str:
-    packed = json.dumps([dataclasses.astuple(rows[name]) for name in sorted(rows)])
+    packed = json.dumps([list(vars(rows[name]).values()) for name in sorted(rows)])
     return hashlib.sha256(packed.encode()).hexdigest()[:12]
 
 
