--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -131,7 +131,7 @@
                 "open": self.table.open,
                 "ready": self.is_ready(),
                 "clock_bound_seconds": self.gossip.clock.bound().total_seconds(),
-                "peers": len(self.peers.live()),
+                "peers": len(self.peers.standing()),
                 "engines": len(self.directory.rows),
                 "list_age_seconds": min(self.directory.age.total_seconds(), 1e6),
                 "connections_made": self.connections.made,
@@ -150,14 +150,14 @@
             "engines": len(self.directory.rows),
             "failing": sorted(e for e in self.directory.rows if self.verdicts.failing(engine=e)),
             "list_age_ms": min(to_ms(self.directory.age), 86_400_000),
-            "peers": [card.name for card in self.peers.live()],
+            "peers": [card.name for card in self.peers.standing()],
             "clock": self.gossip.report(),
         }
 
     # Together with the other daemons.
 
     def edges(self) -> list[PeerCard]:
-        return [card for card in self.peers.live() if card.role == "edge"]
+        return [card for card in self.peers.standing() if card.role == "edge"]
 
     def daemons(self) -> int:
         """How many share what the fleet shares."""
@@ -220,10 +220,10 @@
             spent=self.budget.told(), peers=[],
         )  # fmt: skip
         chosen = edges if everyone else self.host.random.sample(edges, min(TELL_TO, len(edges)))
-        for card in chosen:
-            self.gossip.send(address=card.address, message=summary)
+        addresses = [card.address for card in chosen]
         if self.tracker.head:
-            self.gossip.send(address=self.tracker.head, message=summary)
+            addresses.append(self.tracker.head)
+        self.gossip.send_all(addresses=addresses, message=summary)
 
     # The list of engines.
 
--- a/dockmux/ferry/tracker.py
+++ b/dockmux/ferry/tracker.py
@@ -46,7 +46,7 @@
 
     def cores(self) -> list[str]:
         """Control daemons: those that are known to live; the seeds while there are none."""
-        known = sorted(card.address for card in self.gossip.peers.live() if card.role == "core")
+        known = sorted(card.address for card in self.gossip.peers.standing() if card.role == "core")
         return known or list(self.gossip.peers.seeds)
 
     def run(self) -> None:
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -42,10 +42,12 @@
 
 JOIN_PATIENCE = timedelta(seconds=3)
 HOLD_LIMIT = timedelta(seconds=1)
+DIGEST_KEPT = timedelta(milliseconds=100)
 
 
 class Core:
-    """Invariant: this daemon is the source of time exactly while it is the head under permit."""
+    """Invariants: this daemon is the source of time exactly while it is the head under permit; `digest` names the
+    members as they stood at `digest_at`."""
 
     def __init__(self, *, host: Host, settings: Settings) -> None:
         self.host = host
@@ -56,6 +58,7 @@
             http=settings.http, incarnation=incarnation, ageMs=0,
         )  # fmt: skip
         self.peers = Peers(host=host, settings=settings, card=card)
+        self.digest, self.digest_at = "", -DIGEST_KEPT
         # What operators speak, where it is not this product's own interface.
         # Further tasks of this daemon, which look at the permit themselves.
         self.duties: list[Callable[[], None]] = []
@@ -146,6 +149,17 @@
 
     # News for data daemons.
 
+    def _members(self) -> list[PeerCard]:
+        cores = [card for card in self.peers.live() if card.role == "core"]
+        return [*self.chain.own_sessions(), *cores, self.peers.me()]
+
+    def _members_digest(self) -> str:
+        """Worked out anew once in a while, for as many ask as there are members."""
+        now = self.host.elapsed()
+        if now - self.digest_at >= DIGEST_KEPT:
+            self.digest, self.digest_at = members_digest(cards=self._members()), now
+        return self.digest
+
     def on_news(self, *, ask: NewsAsk) -> NewsReply:
         self.chain.note_session(card=ask.sender)
         if self.chain.state.news_mark <= ask.mark:
@@ -154,9 +168,11 @@
 
     def _news(self, *, ask: NewsAsk) -> NewsReply:
         state, since = self.chain.state, ask.mark
-        members = [*self.chain.own_sessions(), *self.council.cores(), self.peers.me()] if ask.members else []
-        digest = members_digest(cards=members) if ask.members else ""
-
+        digest = self._members_digest() if ask.members else ""
+        members = []
+        if digest != ask.members:
+            members = self._members()
+            digest = members_digest(cards=members)
         age = self.chain.age()
         config = state.config
         held = self.host.elapsed() - self.chain.learned[config.mark] if config else ms(0)
@@ -166,7 +182,7 @@
             ageMs=min(to_ms(age), 86_400_000),
             heldMs=held // ms(1),
             news=state.news(since=since, newest=ask.newest) if state.news_mark > since else None,
-            members=members if digest != ask.members else [],
+            members=members,
             members_digest=digest,
             head=self._head_address() if ask.members else "",
         )
--- a/dockmux/pact/council.py
+++ b/dockmux/pact/council.py
@@ -86,7 +86,7 @@
         return self.member() and self.view.chain[-1] == self.me
 
     def cores(self) -> list[PeerCard]:
-        return [card for card in self.peers.live() if card.role == "core"]
+        return [card for card in self.peers.standing() if card.role == "core"]
 
     def address(self, *, disk: str) -> str | None:
         for card in self.cores():
--- a/dockmux/rumour/spread.py
+++ b/dockmux/rumour/spread.py
@@ -47,7 +47,7 @@
 
     def _look(self) -> None:
         peers = self.gossip.peers
-        daemons = [card.name for card in peers.live() if card.role == "edge"] + [peers.card.name]
+        daemons = [card.name for card in peers.standing() if card.role == "edge"] + [peers.card.name]
         for engine in self.follower.engines:
             name = engine["engine"]
             if peers.card.name in watchers(engine=name, daemons=sorted(daemons)) and name not in self.looking:
@@ -78,7 +78,7 @@
 
     def _tell(self) -> None:
         peers = self.gossip.peers
-        live = peers.live()
+        live = peers.standing()
         summary = UsageSummary(sender=peers.card, engines=self.table.summary(), peers=peers.few()[:3])
         targets = [card.address for card in live] or peers.contacts()
         chosen = self.host.random.sample(targets, min(SPREAD_TO, len(targets)))
@@ -86,8 +86,9 @@
             # Control daemons know each other by this alone: among many peers a drawn few would miss them for too long.
             chosen += [card.address for card in live if card.role == "core" and card.address not in chosen]
         probe = peers.probe()
-        for address in [*chosen, probe] if probe and probe not in chosen else chosen:
-            self.gossip.send(address=address, message=summary)
+        if probe and probe not in chosen:
+            chosen.append(probe)
+        self.gossip.send_all(addresses=chosen, message=summary)
 
     def _note_changes(self) -> None:
         for engine in self.follower.engines:
--- a/dockmux/tempo/gossip.py
+++ b/dockmux/tempo/gossip.py
@@ -80,7 +80,9 @@
         """Whether every live peer has said a short while ago that it has no time to give; asks those that have not."""
         now = self.host.elapsed()
         unheard = [
-            card.address for card in self.peers.live() if now - self.blank.get(card.address, -BLANK_FOR) >= BLANK_FOR
+            card.address
+            for card in self.peers.standing()
+            if now - self.blank.get(card.address, -BLANK_FOR) >= BLANK_FOR
         ]
         for address in unheard:
             self._ask_at(address=address)
@@ -93,7 +95,13 @@
         self.send(address=address, message=ask)
 
     def send(self, *, address: str, message: Any) -> None:
-        self.port.send(address=address, data=pack(data=codec.encode(message=message)))
+        self.send_all(addresses=[address], message=message)
+
+    def send_all(self, *, addresses: list[str], message: Any) -> None:
+        """The same to each, packed once."""
+        data = pack(data=codec.encode(message=message))
+        for address in addresses:
+            self.port.send(address=address, data=data)
 
     def run_receiving(self) -> None:
         while True:
@@ -180,7 +188,7 @@
             "source_mark": clock.source_mark,
             "rateMilliHz": round(self.rate.milliHz, 3),
             "offsetUs": to_us(clock.now() - self.host.wall()),
-            "peers": [card.name for card in self.peers.live()],
+            "peers": [card.name for card in self.peers.standing()],
         }
 
 
--- a/dockmux/tempo/peers.py
+++ b/dockmux/tempo/peers.py
@@ -50,18 +50,25 @@
             self.heard[card.address] = heard
             self.lost.pop(card.address, None)
 
-    def live(self) -> list[PeerCard]:
-        """The cards of peers that have not been silent, in a stable order."""
+    def standing(self) -> list[PeerCard]:
+        """The cards of peers that have not been silent, in a stable order; their ages are those they came with."""
         limit = self.host.elapsed() - ms(self.settings.peerSilenceMs)
         for address in [a for a, heard in self.heard.items() if heard < limit]:
             del self.heard[address], self.cards[address]
             self.lost[address] = self.host.elapsed()
+        return [self.cards[a] for a in sorted(self.cards)]
+
+    def _aged(self, *, cards: list[PeerCard]) -> list[PeerCard]:
         now = self.host.elapsed()
-        return [dataclasses.replace(self.cards[a], ageMs=to_ms(now - self.heard[a])) for a in sorted(self.cards)]
+        return [dataclasses.replace(card, ageMs=to_ms(now - self.heard[card.address])) for card in cards]
+
+    def live(self) -> list[PeerCard]:
+        """The same with their ages now, as they are passed on."""
+        return self._aged(cards=self.standing())
 
     def few(self) -> list[PeerCard]:
-        live = self.live()
-        return self.host.random.sample(live, min(SHARE_COUNT, len(live)))
+        standing = self.standing()
+        return self._aged(cards=self.host.random.sample(standing, min(SHARE_COUNT, len(standing))))
 
     def probe(self) -> str | None:
         """One address that is not live and yet may answer: a seed, or a peer lost a while ago. Without it a
@@ -74,7 +81,7 @@
 
     def contacts(self) -> list[str]:
         """Where to turn: live peers, or the seeds while there are none."""
-        addresses = [card.address for card in self.live()]
+        addresses = [card.address for card in self.standing()]
         return addresses or [seed for seed in self.seeds if seed != self.card.address]
 
 
--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -106,7 +106,7 @@
                 "ready": self.follower.current() is not None,
                 "permitted": self.follower.permitted(),
                 "clock_bound_seconds": self.gossip.clock.bound().total_seconds(),
-                "peers": len(self.peers.live()),
+                "peers": len(self.peers.standing()),
                 "tasks_failed": self.crew.failed,
             }
             staged = self.table.stages()
--- a/dockmux/verge/follower.py
+++ b/dockmux/verge/follower.py
@@ -82,7 +82,7 @@
         """Asks a control daemon with the mark that it has, for ever; a peer when none can be reached."""
         core = ""
         while True:
-            cores = sorted(card.address for card in self.gossip.peers.live() if card.role == "core")
+            cores = sorted(card.address for card in self.gossip.peers.standing() if card.role == "core")
             if core not in cores:
                 core = self.host.random.choice(cores) if cores else ""
             if not core or not self._ask(address=core, holdMs=HOLD_MS):
@@ -106,7 +106,7 @@
         return True
 
     def _ask_a_peer(self) -> None:
-        edges = [card.address for card in self.gossip.peers.live() if card.role == "edge"]
+        edges = [card.address for card in self.gossip.peers.standing() if card.role == "edge"]
         if edges:
             self._ask(address=self.host.random.choice(edges), holdMs=0)
 
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -212,7 +212,7 @@
 
     def _claim(self, *, record: Record) -> None:
         change = {"kind": "claim", "key": record.key, "holder": self.holder}
-        cores = sorted(card.address for card in self.gossip.peers.live() if card.role == "core")
+        cores = sorted(card.address for card in self.gossip.peers.standing() if card.role == "core")
         kind, detail = Kind.NOT_READY, {"why": "no core can be reached"}
         if cores:
             try:
