--- a/dockmux/gauge/fleet.py
+++ b/dockmux/gauge/fleet.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from dockmux.accord import settings
+from dockmux.accord.host import within
 from dockmux.accord.span import ms
 from dockmux.accord.web import HttpStream, Visit, serve
 from dockmux.ferry.deployment import Deployment
@@ -117,8 +118,17 @@
 
         self.hosts[name] = self.world.start(name=name, ip=ip, site=checked.site, run=run)
 
+    def edge_name(self, *, place: int) -> str:
+        return f"edge-{place:03d}"
+
+    def forget_edge(self, *, place: int) -> None:
+        """One that was ended, before it is begun anew."""
+        edge = self.edges.pop(self.edge_name(place=place))
+        if edge in self.hollow:
+            self.hollow.remove(edge)
+
     def start_edge(self, *, place: int) -> None:
-        name, ip = f"edge-{place:03d}", f"10.1.{place // 200}.{place % 200 + 1}"
+        name, ip = self.edge_name(place=place), f"10.1.{place // 200}.{place % 200 + 1}"
         checked = settings.check(fields=self._fields(name=name, ip=ip, place=place))
         tolerated = (self.size.cores - 1) // 2
         deployment = Deployment(
@@ -195,12 +205,18 @@
     # Operators.
 
     def put(self) -> None:
-        """The next configuration, through a control daemon's own door."""
+        """The next configuration."""
         self.version += 1
+        self.send(core="core-0")
+
+    def send(self, *, core: str) -> None:
+        """The newest configuration, through a control daemon's own door; OSError unless it is acknowledged."""
         text = configuration(size=self.size, version=self.version).encode()
-        core = self.cores["core-0"]
         headers = {"x-base-version": str(self.version - 1), "Content-Length": str(len(text))}
-        with HttpStream(host=self.operator, address=core.settings.http, wait=OPERATOR_LIMIT) as stream:
+        with (
+            within(wait=OPERATOR_LIMIT),
+            HttpStream(host=self.operator, address=self.cores[core].settings.http, wait=OPERATOR_LIMIT) as stream,
+        ):
             stream.connect()
             stream.request("POST", self.dialect.put_path, body=text, headers=headers, preload_content=False)
             response = stream.getresponse()
--- a/dockmux/gauge/program.py
+++ b/dockmux/gauge/program.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from dockmux.gauge.fleet import Size, measure
-from dockmux.gauge.slopes import slopes, table
+from dockmux.gauge.recovery import EVENTS, recover
+from dockmux.gauge.slopes import listing, slopes, table
 
 
 def numbers(text: str) -> list[int]:
@@ -24,6 +25,7 @@
     parser.add_argument("--engines", type=numbers, default=[], help="engines, stepped at --at daemons")
     parser.add_argument("--tenants", type=numbers, default=[], help="tenants with routes of their own, stepped so")
     parser.add_argument("--changes", type=numbers, default=[], help="configurations a day, stepped so")
+    parser.add_argument("--events", default="", help=f"recovery at --at daemons, of: {', '.join(EVENTS)}")
     parser.add_argument("--at", type=int, default=50, help="daemons while another size is stepped (default 50)")
     parser.add_argument("--base-engines", type=int, default=610, help="engines while they are not stepped")
     parser.add_argument("--cores", type=int, default=5, help="control daemons (default 5)")
@@ -41,8 +43,9 @@
     }  # fmt: skip
     seeds = range(parsed.seed, parsed.seed + parsed.runs)
     made: dict[str, list[dict]] = {stepped: [] for stepped, sizes in steps.items() if sizes}
-    if not made:
-        parser.error("nothing to step: name sizes, as --daemons 12,50,100")
+    events = parsed.events.split(",") if parsed.events else []
+    if not (made or events) or not set(events) <= set(EVENTS):
+        parser.error("name sizes to step, as --daemons 12,50,100, or events")
     context = multiprocessing.get_context("spawn")
     # A process a run: virtual time is a whole process's, and so is what a run leaves behind.
     with ProcessPoolExecutor(max_workers=parsed.jobs, max_tasks_per_child=1, mp_context=context) as pool:
@@ -55,14 +58,26 @@
             for size in steps[stepped]
             for seed in seeds
         ]  # fmt: skip
+        recoveries = [
+            ("events", pool.submit(
+                recover, event=event, size=base, seed=seed, seconds=parsed.seconds, words=parsed.words
+            ))
+            for event in events
+            for seed in seeds
+        ]  # fmt: skip
         failed = 0
-        for stepped, future in futures:
+        recovered = []
+        for stepped, future in futures + recoveries:
             try:
                 run = future.result()
             except Exception as error:
                 failed += 1
                 print(f"a run of {stepped} failed: {type(error).__name__}: {error}", file=sys.stderr, flush=True)
                 continue
+            if stepped == "events":
+                recovered.append(run)
+                print(json.dumps(run), file=sys.stderr, flush=True)
+                continue
             made[stepped].append(run)
             print(
                 f"{stepped} {run['size'][stepped]}, seed {run['seed']}: {run['whole_run_s']:.0f} s, "
@@ -73,9 +88,16 @@
     found = {stepped: slopes(stepped=stepped, runs=runs) for stepped, runs in made.items() if runs}
     for stepped, rows in found.items():
         pages.append(f"## {stepped}\n\n{table(found=rows)}\n")
+    for event in events:
+        rows = [run for run in recovered if run["event"] == event]
+        pages.append(f"## {event}\n\n{listing(rows=rows)}\n")
     print("\n".join(pages))
     if parsed.out:
-        told = {"runs": made, "slopes": {s: [dataclasses.asdict(row) for row in rows] for s, rows in found.items()}}
+        told = {
+            "runs": made,
+            "recovered": recovered,
+            "slopes": {s: [dataclasses.asdict(row) for row in rows] for s, rows in found.items()},
+        }
         Path(parsed.out + ".json").write_text(json.dumps(told, indent=1) + "\n")
         Path(parsed.out + ".md").write_text("\n".join(pages))
     return 1 if failed else 0
--- a/dockmux/gauge/slopes.py
+++ b/dockmux/gauge/slopes.py
@@ -108,3 +108,15 @@
         row.append("" if slope.power is None else f"{slope.power:.2f}")
         lines.append("| " + " | ".join(row) + " |")
     return "\n".join(lines)
+
+
+def listing(*, rows: list[dict[str, Any]]) -> str:
+    """The figures of one event, least, median and greatest of the runs."""
+    lines = ["| figure | min, median, max |", "| --- | --- |"]
+    for figure in rows[0] if rows else ():
+        if figure in ("event", "size", "seed", "crashes"):
+            continue
+        values = [row[figure] for row in rows]
+        told = ", ".join(short(value=value) for value in (min(values), statistics.median(values), max(values)))
+        lines.append(f"| {figure} | {told} |")
+    return "\n".join(lines)
