--- a/dockmux/gauge/hollow.py
+++ b/dockmux/gauge/hollow.py
@@ -54,7 +54,7 @@
         for engine in self.open_prompts:
             load = own.setdefault(engine, Load())
             load.reading += 1
-            load.done_at = self.host.elapsed() + ms(self.share.prompt_ms * load.reading)
+            load.to_read += ms(self.share.prompt_ms)
         self.work.own = own
 
 
--- a/tests/gauge_test.py
+++ b/tests/gauge_test.py
@@ -92,6 +92,12 @@
         slowest, fastest = others / (TELL + PASS).total_seconds(), others / TELL.total_seconds()
         assert slowest <= right["WorkSummary"]["out_per_s"] <= fastest
         assert 0.9 <= right["NewsAsk"]["out_per_s"] <= 1.2
+        # What they tell of their work adds up to the same: times still to be read, streams.
+        sums = []
+        for edges in (real, hollow):
+            rows = [row for edge in edges for row in edge.work.summary().values()]
+            sums.append([sum(column) for column in zip(*rows, strict=True)])
+        assert sums[0] == sums[1]
         for part, count in told["real"]["state"].items():
             assert near(found=told["hollow"]["state"][part], wanted=count, part=0.15), (part, told)
         for edge in made.edges.values():
