--- a/dockmux/gauge/fleet.py
+++ b/dockmux/gauge/fleet.py
@@ -15,6 +15,7 @@
 from dockmux.accord.host import within
 from dockmux.accord.span import ms
 from dockmux.accord.web import HttpStream, Visit, serve
+from dockmux.ferry.balance import Balance
 from dockmux.ferry.deployment import Deployment
 from dockmux.ferry.dialect import Dialect
 from dockmux.ferry.edge import Edge
@@ -108,10 +109,12 @@
     def start_core(self, *, place: int) -> None:
         name, ip = f"core-{place}", f"10.0.0.{place + 1}"
         checked = settings.check(fields=self._fields(name=name, ip=ip, place=place) | {"data_folder": "data"})
+        deployment = Deployment(tolerated=(self.size.cores - 1) // 2)
 
         def run(host: SimHost) -> None:
             core = Core(host=host, settings=checked)
             core.office = Office(core=core, dialect=self.dialect).site
+            core.duties.append(Balance(core=core, deployment=deployment, dialect=self.dialect).run)
             with core.running():
                 self.cores[name] = core
                 host.sleep(wait=timedelta(days=1))
