--- a/dockmux/ferry/record.py
+++ b/dockmux/ferry/record.py
@@ -13,8 +13,9 @@
     """Invariants: `until` is the monotonic time at which the client's deadline or the route's time-out ends it;
     `sends` counts the engines that it was sent to to be run, `reads` those that only read for it; `ran` says that it
     may have run: from then on it is not refused. While it waits for an engine, `engine` names it, `since` is when
-    that last gave a sign, `wire` is the connection, and `reading` says that only its prompt is read there, which may
-    be asked for again whatever the route's rule."""
+    that last gave a sign, `wire` is the connection, and `reading` says that only its prompt is read there, which
+    may be asked for again whatever the route's rule. `begun` says that the
+    client has a first event: before it, it waits no longer than the route's patience."""
 
     key: int
     ask: Ask
@@ -34,10 +35,15 @@
     since: timedelta = timedelta()
     wire: Any = None
     reading: bool = False
+    begun: bool = False
     why: str = ""
 
     def wait_for(self, *, engine: str, wire: Any, now: timedelta, reading: bool) -> None:
         self.engine, self.wire, self.since, self.reading = engine, wire, now, reading
 
+    def ends_at(self) -> timedelta:
+        """When nobody waits for it any more."""
+        return self.until if self.begun else min(self.until, self.began + self.route.patience)
+
     def wait_over(self) -> None:
         self.engine, self.wire = "", None
--- a/dockmux/ferry/routes.py
+++ b/dockmux/ferry/routes.py
@@ -34,7 +34,7 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Route:
     """Invariants: prefix begins and ends with a slash; the weights of `shares` sum to more than 0; `hold` is positive;
-    urgency 0 goes first."""
+    urgency 0 goes first. After `patience` without a first event clients are gone."""
 
     name: str
     host: str
@@ -47,6 +47,7 @@
     tries: int
     shares: tuple[tuple[str, int], ...]
     pause: timedelta
+    patience: timedelta = timedelta(days=1)
 
     def service(self, *, request_id: str) -> str:
         """The service of one request, by weight; the same for the same request wherever it is asked."""
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -85,7 +85,7 @@
         """Whoever waits past the end of its time is cut loose from its engine, and then gets its final answer."""
         now = self.host.elapsed()
         for record in list(self.records.values()):
-            if record.wire is not None and now >= record.until:
+            if record.wire is not None and now >= record.ends_at():
                 record.why = "its time is over"
                 self._cut_loose(record=record)
 
@@ -168,6 +168,9 @@
             if pairing is None:
                 kind, why = Kind.NO_ENGINE, "no engine can be used"
                 break
+            if not record.ran and self.host.elapsed() + pairing.expected > record.ends_at():
+                kind, why = Kind.BUSY, "it would not be answered in time"
+                break
             memory = None
             if pairing.reader is not None:
                 taken = self._may_read(record=record)
@@ -207,7 +210,7 @@
                         record.since = self.signs[pairing.writer.engine] = self.host.elapsed()
                         given = data if events is None else events.feed(data=data)
                         if not begun:
-                            begun = True
+                            begun = record.begun = True
                             visit.begin(status=told.status, headers=self._headers(told=told, cut=events is not None))
                         if given:
                             yield given
@@ -235,7 +238,7 @@
         self.journal.append(event=Concluded(kind=kind))
 
     def _over(self, *, record: Record) -> bool:
-        return self.host.elapsed() >= record.until
+        return self.host.elapsed() >= record.ends_at()
 
     def _barred(self, *, record: Record, begun: bool) -> tuple[Kind | None, str]:
         """Why the request goes to no engine any more, if so."""
--- /dev/null
+++ b/tests/patience_test.py
@@ -0,0 +1,48 @@
+"""For whom nobody works any more: clients that give a stream up before its first event."""
+
+from datetime import timedelta
+
+import words
+
+from dockmux.ferry.dialect import Ask
+from dockmux.ferry.record import Record
+from dockmux.ferry.routes import Route, RunRule
+
+
+def route(**fields: object) -> Route:
+    base = {
+        "name": "r", "host": "h", "prefix": "/", "run": RunRule.ONCE, "stream": True, "hold": timedelta(seconds=8),
+        "aim": timedelta(milliseconds=800), "urgency": 1, "tries": 1, "shares": (("s", 1),), "pause": timedelta(),
+    }  # fmt: skip
+    return Route(**base | fields)
+
+
+def record(*, of: Route) -> Record:
+    ask = Ask(
+        request_id="x", deadline=None, model="m", tokens_in=1, tokens_out=1, parts=(), last_event=None
+    )  # fmt: skip
+    began = timedelta(seconds=100)
+    return Record(
+        key=1, ask=ask, route=of, service="s", method="POST", target="/", headers=(), body=b"", began=began,
+        until=began + of.hold,
+    )  # fmt: skip
+
+
+def test_before_a_first_event_the_clients_patience_ends_it_and_after_it_the_deadline():
+    waiting = record(of=route(patience=timedelta(seconds=3)))
+    assert waiting.ends_at() == timedelta(seconds=103)
+    waiting.begun = True
+    assert waiting.ends_at() == timedelta(seconds=108)
+    assert record(of=route()).ends_at() == timedelta(seconds=108)
+
+
+def test_the_adapter_reads_the_patience_from_aim_and_pause():
+    row = {
+        "name": "r", "host": "h", "pfx": "/a/", "type": "sse", "tmo_ms": 8000, "target_ms": 800, "prio": 0, "svc": "s",
+        "tries": 2, "resume": True, "itl_target_ms": 300,
+    }  # fmt: skip
+    read = words.Words()._route
+    assert read(row=row).patience == timedelta(milliseconds=3200)
+    assert read(row=row | {"target_ms": 100}).patience == timedelta(milliseconds=2400)
+    assert read(row=row | {"target_ms": 100, "itl_target_ms": 10}).patience == timedelta(seconds=2)
+    assert read(row=row | {"type": "mut"}).patience == timedelta(seconds=8)
