--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -28,10 +28,11 @@
 SILENT = timedelta(milliseconds=700)
 # When to come back where nothing was run.
 RETRY_MS = 250
+# Engines that are asked to read for one request, before its writer reads itself.
 READS_MOST = 2
-# An engine that has given no sign for so long is asked whether it is well.
 # Readings count as being turned away for so long after one was.
 TURNED_FOR = timedelta(seconds=2)
+# An engine that has given no sign for so long is asked whether it is well.
 QUIET = timedelta(milliseconds=1500)
 
 
--- a/dockmux/pact/core.py
+++ b/dockmux/pact/core.py
@@ -59,9 +59,9 @@
         )  # fmt: skip
         self.peers = Peers(host=host, settings=settings, card=card)
         self.digest, self.digest_at = "", -DIGEST_KEPT
-        # What operators speak, where it is not this product's own interface.
         # Further tasks of this daemon, which look at the permit themselves.
         self.duties: list[Callable[[], None]] = []
+        # What operators speak, where it is not this product's own interface.
         self.office: Callable[[Visit], Iterable[bytes]] = self.site
 
     @contextlib.contextmanager
