--- /dev/null
+++ b/tests/daemon_test.py
@@ -0,0 +1,102 @@
+"""Signals, as the platform sends them to a daemon."""
+
+import contextlib
+import os
+import signal
+from collections.abc import Iterator
+from datetime import timedelta
+
+import pytest
+
+from dockmux.accord import daemon
+from dockmux.accord.catalogue import Note
+from dockmux.accord.settings import BadSetting, check
+from dockmux.accord.settings_type import Settings
+
+
+class Ended(Exception):
+    """Stands for the end of the process."""
+
+
+class Peers:
+    def __init__(self) -> None:
+        self.seeds = ["10.0.0.1:7000"]
+
+
+class Daemon:
+    """A daemon without anything in it. Invariant: `drained` says that it was told to stop."""
+
+    def __init__(self) -> None:
+        self.peers = Peers()
+        self.drained = False
+
+    def drain(self) -> int:
+        self.drained = True
+        return 0
+
+
+class SignalHost:
+    """A host on which each wait brings the next signal; after the last of them it is stopped."""
+
+    def __init__(self, *, signals: list[int]) -> None:
+        self.signals = signals
+        self.logged: list[tuple[Note, dict]] = []
+        self.now = timedelta()
+
+    def elapsed(self) -> timedelta:
+        return self.now
+
+    def sleep(self, *, wait: timedelta) -> None:
+        self.now += wait
+        os.kill(os.getpid(), self.signals.pop(0) if self.signals else signal.SIGTERM)
+
+    def log(self, note: Note, **fields: object) -> None:
+        self.logged.append((note, fields))
+
+
+def settings(*, seeds: list[str]) -> Settings:
+    return check(
+        fields={"name": "a", "site": "s", "address": "10.0.0.9:7000", "http": "10.0.0.9:7001", "seeds": seeds}
+    )  # fmt: skip
+
+
+@pytest.fixture
+def own_signals(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    def end(code: int) -> None:
+        raise Ended(code)
+
+    monkeypatch.setattr(os, "_exit", end)
+    kept = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
+    # What a process without a handler would do must not end the tests.
+    signal.signal(signal.SIGHUP, lambda *_: pytest.fail("nobody heeds SIGHUP"))
+    yield
+    for number, handler in kept.items():
+        signal.signal(number, handler)
+
+
+def play(*, signals: list[int], again: object) -> tuple[SignalHost, Daemon]:
+    host, made = SignalHost(signals=signals), Daemon()
+    with pytest.raises(Ended):
+        daemon.run(
+            host=host, settings=settings(seeds=["10.0.0.1:7000"]), running=contextlib.nullcontext(made), again=again
+        )  # fmt: skip
+    return host, made
+
+
+def test_sighup_has_the_settings_read_again_and_ends_nothing(own_signals: None) -> None:
+    host, made = play(
+        signals=[signal.SIGHUP, signal.SIGHUP], again=lambda: settings(seeds=["10.0.0.2:7000", "10.0.0.3:7000"])
+    )  # fmt: skip
+    assert made.peers.seeds == ["10.0.0.2:7000", "10.0.0.3:7000"] and made.drained
+    assert [note for note, _ in host.logged] == [
+        Note.SETTINGS_READ, Note.SETTINGS_READ, Note.STOPPING, Note.STOPPED,
+    ]  # fmt: skip
+
+
+def test_a_changed_file_that_is_wrong_changes_nothing(own_signals: None) -> None:
+    def wrong() -> Settings:
+        raise BadSetting("seeds: found nothing, allowed: a list of one to three addresses")
+
+    host, made = play(signals=[signal.SIGHUP], again=wrong)
+    assert made.peers.seeds == ["10.0.0.1:7000"]
+    assert host.logged[0][0] is Note.SETTINGS_BAD
