--- a/dockmux/ferry/dialect.py
+++ b/dockmux/ferry/dialect.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 from datetime import timedelta
-from typing import Protocol
+from typing import Any, Protocol
 
 from dockmux.ferry.routes import RouteTable
 
@@ -117,6 +117,12 @@
 
     def listed(self, *, body: bytes) -> tuple[list[EngineEntry], str | None]: ...
 
+    def text(self, *, table: RouteTable) -> str:
+        """The same configuration as `table` reads, as an operator sends it."""
+
+    def list_fields(self, *, rows: list[EngineEntry], following: str | None) -> dict[str, Any]:
+        """A page of the list, as `listed` reads it."""
+
     def report(self, *, body: bytes) -> Report: ...
 
     def phase_order(self, *, phase: str, owner: str, fence: int) -> bytes: ...
--- a/dockmux/gauge/fleet.py
+++ b/dockmux/gauge/fleet.py
@@ -3,7 +3,6 @@
 import dataclasses
 import gc
 import importlib.util
-import json
 import statistics
 import time
 from collections.abc import Iterable, Iterator
@@ -17,9 +16,10 @@
 from dockmux.accord.web import HttpStream, Visit, serve
 from dockmux.ferry.balance import Balance
 from dockmux.ferry.deployment import Deployment
-from dockmux.ferry.dialect import Dialect
+from dockmux.ferry.dialect import Dialect, EngineEntry
 from dockmux.ferry.edge import Edge
 from dockmux.ferry.office import Office
+from dockmux.ferry.routes import Limits, Route, RouteTable, RunRule, Service
 from dockmux.ferry.work import TOLD_FOR
 from dockmux.gauge.hollow import HollowEdge, run_load
 from dockmux.gauge.meter import Meter, MeteredHost, MeteredWorld, deep_size
@@ -58,23 +58,22 @@
     return module.Words()
 
 
-def configuration(*, size: Size, version: int) -> str:
+def configuration(*, size: Size, version: int) -> RouteTable:
     """A route for each model, and one for each tenant that has its own."""
-    services = [
-        {"name": f"m{n}", "hc": "/health", "maxconn": 64, "backend": {"slots": 16, "kv_toks": 400_000}}
-        for n in range(size.models)
-    ]
-    routes = [
-        {"name": f"r{n}", "host": "*", "pfx": f"/v1/m{n}/", "type": "sse", "svc": f"m{n}", "tmo_ms": 60_000,
-         "target_ms": 1500, "itl_target_ms": 33, "prio": 5, "tries": 2, "resume": True}
-        for n in range(size.models)
-    ]  # fmt: skip
+    services = {f"m{n}": Service(name=f"m{n}", health_path="/health", connections=64) for n in range(size.models)}
+
+    def route(*, name: str, host: str, prefix: str, service: str) -> Route:
+        return Route(
+            name=name, host=host, prefix=prefix, run=RunRule.RESUMABLE, stream=True, hold=timedelta(seconds=60),
+            aim=ms(1500), urgency=5, tries=2, shares=((service, 1),), pause=ms(33),
+        )  # fmt: skip
+
+    routes = [route(name=f"r{n}", host="*", prefix=f"/v1/m{n}/", service=f"m{n}") for n in range(size.models)]
     routes += [
-        {"name": f"t{n}", "host": f"t{n}.example", "pfx": "/v1/", "type": "sse", "svc": f"m{n % size.models}",
-         "tmo_ms": 60_000, "target_ms": 1500, "itl_target_ms": 33, "prio": 5, "tries": 2, "resume": True}
+        route(name=f"t{n}", host=f"t{n}.example", prefix="/v1/", service=f"m{n % size.models}")
         for n in range(size.tenants)
-    ]  # fmt: skip
-    return json.dumps({"gen": version, "svcs": services, "rtab": routes}, separators=(",", ":"))
+    ]
+    return RouteTable(version=version, routes=tuple(routes), services=services, limits=Limits())
 
 
 class GaugeFleet:
@@ -154,17 +153,18 @@
         """Answers with the list of engines, by pages."""
         readers = round(self.size.engines * READING_PART)
         rows = [
-            {"id": f"e{n:04d}", "svc": f"m{n % self.size.models}", "addr": f"10.2.{n // 200}.{n % 200 + 1}:8000",
-             "az": self._zone(place=n), "phase": "prefill" if n < readers else "decode", "slots": 16, "st": "ready",
-             "gen": "1"}
+            EngineEntry(
+                engine=f"e{n:04d}", service=f"m{n % self.size.models}", address=f"10.2.{n // 200}.{n % 200 + 1}:8000",
+                zone=self._zone(place=n), phase="prefill" if n < readers else "decode", slots=16, leaving=False,
+                release="1",
+            )
             for n in range(self.size.engines)
         ]  # fmt: skip
 
         def site(visit: Visit) -> Iterable[bytes]:
             page = int(visit.environ.get("QUERY_STRING", "").partition("=")[2] or 0)
-            told = {"insts": rows[page : page + PAGE_ROWS]}
-            if page + PAGE_ROWS < len(rows):
-                told["next"] = str(page + PAGE_ROWS)
+            following = str(page + PAGE_ROWS) if page + PAGE_ROWS < len(rows) else None
+            told = self.dialect.list_fields(rows=rows[page : page + PAGE_ROWS], following=following)
             self.list_calls += page == 0
             return visit.reply(status=200, fields=told)
 
@@ -214,7 +214,7 @@
 
     def send(self, *, core: str) -> None:
         """The newest configuration, through a control daemon's own door; OSError unless it is acknowledged."""
-        text = configuration(size=self.size, version=self.version).encode()
+        text = self.dialect.text(table=configuration(size=self.size, version=self.version)).encode()
         headers = {"x-base-version": str(self.version - 1), "Content-Length": str(len(text))}
         with (
             within(wait=OPERATOR_LIMIT),
@@ -373,7 +373,7 @@
             "in_force_ms": in_force / ms(1),
             "change": change,
             "operator_bytes": operator.sent_bytes.total() + operator.received_bytes.total(),
-            "configuration_bytes": len(configuration(size=size, version=made.version)),
+            "configuration_bytes": len(made.dialect.text(table=configuration(size=size, version=made.version))),
             "crashes": made.world.crashes[:5],
             "whole_run_s": time.process_time() - began_s,
         }
--- a/tests/routes_test.py
+++ b/tests/routes_test.py
@@ -213,3 +213,8 @@
     assert ask.deadline == timedelta(seconds=8)
     bare = words.Words().ask(headers=[("X-Request-Id", "a"), ("X-Tokens", "x"), ("X-Deadline-Ms", "soon")])
     assert (bare.tokens_in, bare.parts, bare.deadline) == (0, (), None)
+
+
+def test_what_the_adapter_writes_it_reads_back():
+    table = words.Words().table(text=json.dumps(configuration()))
+    assert words.Words().table(text=words.Words().text(table=table)) == table
