--- a/dockmux/accord/daemon.py
+++ b/dockmux/accord/daemon.py
@@ -12,7 +12,7 @@
 
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import LEVELS, Host
-from dockmux.accord.ledger import LedgerDamaged
+from dockmux.accord.record_log import RecordLogDamaged
 from dockmux.accord.settings import BadSetting
 from dockmux.accord.settings_type import Settings
 
@@ -69,7 +69,7 @@
             logging.flush()
             # Streams of user agents that never end would hold up an orderly unwinding.
             os._exit(0)
-    except LedgerDamaged:
+    except RecordLogDamaged:
         return 3
     except OSError as error:
         host.log(Note.CANNOT_RUN, error=error)
--- a/dockmux/accord/ledger.py
+++ b/dockmux/accord/record_log.py
@@ -14,7 +14,7 @@
 BREATH_BYTES = 100_000
 
 
-class LedgerDamaged(Exception):
+class RecordLogDamaged(Exception):
     """A record that was once synced cannot be read."""
 
 
@@ -51,11 +51,11 @@
         body, end = _record_at(data=data, offset=offset)
         if body is None or data[end - 1 : end] != b"\n":
             if body is not None and end < len(data):
-                raise LedgerDamaged(offset)
+                raise RecordLogDamaged(offset)
             later = data.find(b"\n", offset)
             while later >= 0:
                 if _record_at(data=data, offset=later + 1)[0] is not None:
-                    raise LedgerDamaged(offset)
+                    raise RecordLogDamaged(offset)
                 later = data.find(b"\n", later + 1)
             break
         records.append(json.loads(body))
@@ -63,7 +63,7 @@
     return records, offset
 
 
-class Ledger:
+class RecordLog:
     """Records on disk. Invariant: `sizeBytes` is the end of the last synced record; what lies beyond
     it in the file is cut off by the next append."""
 
@@ -81,7 +81,7 @@
             return None
         try:
             records, self.sizeBytes = parse(data=data)
-        except LedgerDamaged as damage:
+        except RecordLogDamaged as damage:
             self.host.log(Note.DISK_CORRUPT, file=self.name, offset=damage.args[0])
             raise
         self.rewrittenBytes = self.sizeBytes
@@ -137,7 +137,7 @@
         data[place] ^= 0x01
         try:
             parse(data=bytes(data))
-        except LedgerDamaged as damage:
+        except RecordLogDamaged as damage:
             assert damage.args[0] == len(lines[0])
             continue
         raise AssertionError(place)
--- a/dockmux/pact/chain.py
+++ b/dockmux/control/chain_replica.py
@@ -10,7 +10,7 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import Host, within
 from dockmux.accord.kinds import Kind, Outcome
-from dockmux.accord.ledger import Unsure
+from dockmux.accord.record_log import Unsure
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import UNBOUNDED, ZERO, instant_us, ms, to_us, us
 from dockmux.accord.types import (
@@ -26,9 +26,9 @@
     WriteReply,
 )  # fmt: skip
 from dockmux.accord.wire import Caller
-from dockmux.pact.council import Council
-from dockmux.pact.state import Snapshot, State
-from dockmux.pact.vault import Vault
+from dockmux.control.replica_store import ReplicaStore
+from dockmux.control.state import Snapshot, State
+from dockmux.control.view_agreement import ViewAgreement
 from dockmux.tempo.gossip import Gossip
 
 WRITE_LIMIT = timedelta(seconds=4)
@@ -59,11 +59,11 @@
     untilUs: int
 
 
-class Chain:
+class ChainReplica:
     """One member's part of the chain.
 
     Invariants:
-    - `entries` in the vault have no gap; each member's are a prefix of its predecessor's;
+    - `entries` in the store have no gap; each member's are a prefix of its predecessor's;
     - `state` stays the same object and is folded up to the last entry known to be acknowledged by a tail under permit;
     - `planned` is folded up to the last synced entry, and only the head uses it, to judge the next change; at
       `planned_at` on its own monotonic clock the claims' time stood at `planned_fromUs`;
@@ -82,24 +82,24 @@
         *,
         host: Host,
         settings: Settings,
-        vault: Vault,
-        council: Council,
+        store: ReplicaStore,
+        agreement: ViewAgreement,
         gossip: Gossip,
         caller: Caller,
     ) -> None:
         self.host = host
         self.settings = settings
-        self.vault = vault
-        self.council = council
+        self.store = store
+        self.agreement = agreement
         self.gossip = gossip
         self.caller = caller
-        self.state = vault.opened
+        self.state = store.opened
         self.planned_at, self.planned_fromUs = ZERO, 0
         self.planned = self._plan()
         self.planned_view = 0
         self.tail_view = 0
         self.followed = (0, 0)
-        self.extending = council.extending
+        self.extending = agreement.extending
         self.pending: list[Write] = []
         self.waiting: list[Write] = []
         self.stir = Bell()
@@ -126,18 +126,18 @@
 
     @property
     def synced(self) -> int:
-        return self.vault.entries[-1].mark if self.vault.entries else self.vault.base_mark
+        return self.store.entries[-1].mark if self.store.entries else self.store.base_mark
 
     # Writing.
 
     def write(self, *, change: dict[str, Any], relayed: bool = False) -> Outcome:
         """Carries a change to the head and waits for the tail's acknowledgement, but not for ever."""
-        view = self.council.view
+        view = self.agreement.view
         if view is None:
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "no view yet"})
-        if not self.council.is_head():
+        if not self.agreement.is_head():
             return self._relay(head=view.chain[0], change=change, relayed=relayed)
-        if not self.council.under_permit():
+        if not self.agreement.holds_lease():
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "the head holds no permit"})
         if not self.gossip.ready():
             return Outcome(kind=Kind.NOT_READY, detail={"why": "the head's clock is not synchronized"})
@@ -157,7 +157,7 @@
             return Outcome(kind=Kind.UNKNOWN, detail={"why": "not acknowledged in time"})
 
     def _relay(self, *, head: str, change: dict[str, Any], relayed: bool) -> Outcome:
-        address = self.council.address(disk=head)
+        address = self.agreement.address(disk=head)
         if relayed or address is None:
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "the head cannot be reached"})
         ask = WriteAsk(change=change, relayed=True)
@@ -177,12 +177,12 @@
         """Takes up pending changes, adds them, and has the rest of the chain follow."""
         while True:
             self._settle_lost()
-            if not self.council.is_head() or not self.council.under_permit():
+            if not self.agreement.is_head() or not self.agreement.holds_lease():
                 self.host.sleep(wait=ms(50))
                 continue
-            if self.planned_view != self.council.view.number:
+            if self.planned_view != self.agreement.view.number:
                 self.planned = self._plan()
-                self.planned_view = self.council.view.number
+                self.planned_view = self.agreement.view.number
             if not self.pending and self._all_followed() and self.host.elapsed() - self.pushed_at < PULSE:
                 self.stir.wait(wait=ms(50))
                 continue
@@ -195,18 +195,18 @@
     def _all_followed(self) -> bool:
         if self.state.mark < self.synced:
             return False
-        return self._successor() is None or self.followed == (self.council.view.number, self.synced)
+        return self._successor() is None or self.followed == (self.agreement.view.number, self.synced)
 
     def _settle_lost(self) -> None:
         """A head that was replaced does not know what became of its changes."""
-        if self.waiting and not self.council.is_head():
+        if self.waiting and not self.agreement.is_head():
             for write in self.waiting:
                 write.done.send(Outcome(kind=Kind.UNKNOWN, detail={"why": "the head was replaced"}))
             self.waiting.clear()
 
     def _extend(self) -> None:
         with self.extending:
-            if not (self.council.is_head() and self.council.under_permit()):
+            if not (self.agreement.is_head() and self.agreement.holds_lease()):
                 return
             taken, self.pending = self.pending[:BATCH_MOST], self.pending[BATCH_MOST:]
             accepted: list[Write] = []
@@ -236,10 +236,10 @@
     def _sync(self, *, entries: list[Entry]) -> None:
         self.disk_busy_since = self.host.elapsed()
         try:
-            self.vault.append(entries=entries)
-            self.council.ailing = False
+            self.store.append(entries=entries)
+            self.agreement.ailing = False
         except OSError as error:
-            self.council.note_disk_failure(error=error)
+            self.agreement.note_disk_failure(error=error)
             raise
         finally:
             self.disk_busy_since = None
@@ -290,23 +290,23 @@
     # Passing on.
 
     def _successor(self) -> str | None:
-        chain = self.council.view.chain
-        place = chain.index(self.council.me) + 1
+        chain = self.agreement.view.chain
+        place = chain.index(self.agreement.me) + 1
         return chain[place] if place < len(chain) else None
 
     def _push(self) -> None:
         """One round with the successor; on return what it acknowledged is in the state. Nothing is passed on by one
         that a view has left out meanwhile."""
-        if not self.council.member():
+        if not self.agreement.member():
             return
-        number = self.council.view.number
+        number = self.agreement.view.number
         successor = self._successor()
         if successor is None:
             self.acting_tail()
             self.pushed_at = self.host.elapsed()
             self.host.sleep(wait=ms(50))
             return
-        address = self.council.address(disk=successor)
+        address = self.agreement.address(disk=successor)
         if address is None:
             self.host.sleep(wait=ms(50))
             return
@@ -315,7 +315,7 @@
             entries = self._after(mark=mark)[:BATCH_MOST]
             ask = Append(number=number, mark=mark, upto=self.synced, entries=entries)
             reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-            if self.council.view.number != number:
+            if self.agreement.view.number != number:
                 return
             if reply.state == "behind":
                 mark = reply.mark
@@ -325,25 +325,25 @@
                 self.followed = (number, reply.mark)
                 self._acknowledge(mark=reply.mark)
             else:
-                self.council.learn(view=reply.view)
+                self.agreement.learn(view=reply.view)
                 self.host.sleep(wait=ms(50))
             return
 
     def _after(self, *, mark: int) -> list[Entry]:
-        base = self.vault.base_mark
-        return self.vault.entries[max(mark - base, 0) :]
+        base = self.store.base_mark
+        return self.store.entries[max(mark - base, 0) :]
 
     def on_append(self, *, ask: Append) -> Appended:
-        council = self.council
+        agreement = self.agreement
         with self.extending:
-            if council.view is None or council.view.number != ask.number or not council.member():
-                return Appended(state="refused", mark=self.synced, view=council.view)
+            if agreement.view is None or agreement.view.number != ask.number or not agreement.member():
+                return Appended(state="refused", mark=self.synced, view=agreement.view)
             if ask.mark > self.synced:
                 return Appended(state="behind", mark=self.synced)
             fresh = [entry for entry in ask.entries if entry.mark > self.synced]
             if fresh and fresh[0].mark != self.synced + 1:
                 # The predecessor no longer has what is between: out, and back in by a snapshot.
-                council.outrun = True
+                agreement.outrun = True
                 return Appended(state="refused", mark=self.synced)
             if fresh:
                 try:
@@ -353,13 +353,13 @@
                 for entry in fresh:
                     self.planned.fold(mark=entry.mark, change=entry.change)
             upto = self.synced
-            if not self.vault.level and upto >= ask.upto:
+            if not self.store.level and upto >= ask.upto:
                 try:
-                    self.vault.vote(level=True)
+                    self.store.vote(level=True)
                 except OSError as error:
-                    council.note_disk_failure(error=error)
+                    agreement.note_disk_failure(error=error)
                     return Appended(state="disk", mark=upto)
-        if council.is_tail():
+        if agreement.is_tail():
             if not self.acting_tail():
                 return Appended(state="refused", mark=upto)
             self._acknowledge(mark=upto)
@@ -385,7 +385,7 @@
         done = [write for write in self.waiting if write.mark <= self.state.mark]
         self.waiting = [write for write in self.waiting if write.mark > self.state.mark]
         for write in done:
-            if len(self.council.view.chain) < 2:
+            if len(self.agreement.view.chain) < 2:
                 why = {"why": "one copy only"}
                 write.done.send(Outcome(kind=Kind.UNKNOWN, detail=why))
                 continue
@@ -406,18 +406,18 @@
             self.host.sleep(wait=ms(500))
             busy = self.disk_busy_since
             if busy is not None and self.host.elapsed() - busy > STALL_LIMIT:
-                self.council.ailing = True
-            elif self.council.ailing:
+                self.agreement.ailing = True
+            elif self.agreement.ailing:
                 # A member tries as well: when every disk has failed, no view can leave one out.
                 with self.extending:
                     try:
-                        self.vault.vote(disk=self.vault.disk)
-                        self.council.ailing = False
+                        self.store.vote(disk=self.store.disk)
+                        self.agreement.ailing = False
                     except OSError:
                         continue
             with self.extending:
                 try:
-                    self.vault.shorten(state=self.state)
+                    self.store.shorten(state=self.state)
                 except OSError as error:
                     self.host.log(Note.DISK_FAILED, error=error)
 
@@ -425,12 +425,12 @@
 
     def acting_tail(self) -> bool:
         """Whether this member may answer as the tail."""
-        council = self.council
-        if not council.is_tail() or not council.under_permit() or not self.vault.level:
+        agreement = self.agreement
+        if not agreement.is_tail() or not agreement.holds_lease() or not self.store.level:
             return False
-        if self.tail_view != council.view.number:
+        if self.tail_view != agreement.view.number:
             self._acknowledge(mark=self.synced)
-            self.tail_view = council.view.number
+            self.tail_view = agreement.view.number
         return True
 
     def age(self) -> timedelta:
@@ -440,39 +440,39 @@
 
     def run_confirming(self) -> None:
         while True:
-            self.host.sleep(wait=self.council.permit / 8)
-            council = self.council
-            if not council.member() or council.is_tail():
+            self.host.sleep(wait=self.agreement.lease / 8)
+            agreement = self.agreement
+            if not agreement.member() or agreement.is_tail():
                 continue
-            tail = council.view.chain[-1]
-            address = council.address(disk=tail)
+            tail = agreement.view.chain[-1]
+            address = agreement.address(disk=tail)
             if address is None:
                 continue
             if self.shared.tail != tail:
                 self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
             sent = self.host.elapsed()
             ask = ConfirmAsk(
-                number=council.view.number,
+                number=agreement.view.number,
                 sessions=self.own_sessions(since=self.shared.upto, at=self.renewed_at),
                 sinceUs=self.shared.untilUs,
             )
             try:
-                reply = self.caller.call(address=address, ask=ask, wait=council.permit / 2)
+                reply = self.caller.call(address=address, ask=ask, wait=agreement.lease / 2)
             except OSError:
                 # It may have been begun anew: then it holds nothing of what it was told.
                 self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
                 continue
             self.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
-            council.learn(view=reply.view)
-            if reply.granted and council.view.number == ask.number and reply.mark <= self.synced:
+            agreement.learn(view=reply.view)
+            if reply.granted and agreement.view.number == ask.number and reply.mark <= self.synced:
                 self._acknowledge(mark=reply.mark)
                 self.known_at = max(self.known_at, sent)
             self._hear_sessions(cards=reply.sessions)
 
     def on_confirm(self, *, ask: ConfirmAsk) -> ConfirmReply:
-        council = self.council
+        agreement = self.agreement
         self._hear_sessions(cards=ask.sessions)
-        view = council.view
+        view = agreement.view
         granted = view is not None and view.number == ask.number and self.acting_tail()
         now = self.host.elapsed()
         # A mark from before this machine's monotonic time began again says nothing.
@@ -519,13 +519,13 @@
     def run_joining(self) -> None:
         while True:
             self.host.sleep(wait=ms(300))
-            council = self.council
-            if council.view is None or council.ailing:
+            agreement = self.agreement
+            if agreement.view is None or agreement.ailing:
                 continue
-            if council.member():
+            if agreement.member():
                 self.needs_snapshot = True
                 continue
-            address = council.address(disk=council.view.chain[-1])
+            address = agreement.address(disk=agreement.view.chain[-1])
             if address is None:
                 continue
             try:
@@ -539,11 +539,11 @@
             if state is not None:
                 self._become(state=state)
             return
-        ask = JoinAsk(disk=self.council.me, mark=self.synced, fresh=False)
+        ask = JoinAsk(disk=self.agreement.me, mark=self.synced, fresh=False)
         reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-        self.council.learn(view=reply.view)
+        self.agreement.learn(view=reply.view)
         with self.extending:
-            if self.council.member():
+            if self.agreement.member():
                 return
             if reply.granted:
                 fresh = [entry for entry in reply.entries if entry.mark > self.synced]
@@ -559,24 +559,24 @@
 
     def _become(self, *, state: State) -> None:
         with self.extending:
-            if self.council.member():
+            if self.agreement.member():
                 return
-            self.vault.entries = []
-            self.vault.reset(state=state)
+            self.store.entries = []
+            self.store.reset(state=state)
             self.state.__dict__.update(state.__dict__)
             self.planned = self.state.copy()
             self._note_learned()
-            self.needs_snapshot = self.council.outrun = False
+            self.needs_snapshot = self.agreement.outrun = False
             self.host.log(Note.JOINED, mark=state.mark)
 
     def _fetch_snapshot(self, *, address: str) -> State | None:
         """The tail's state, part by part."""
-        state = State(keep=self.vault.keep)
+        state = State(keep=self.store.keep)
         number, parts = 0, 1
         while number < parts:
-            ask = JoinAsk(disk=self.council.me, mark=state.mark, fresh=True, part=number)
+            ask = JoinAsk(disk=self.agreement.me, mark=state.mark, fresh=True, part=number)
             reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-            self.council.learn(view=reply.view)
+            self.agreement.learn(view=reply.view)
             told = reply.snapshot
             if told is None or told["part"] != number or (number and told["mark"] != state.mark):
                 return None
@@ -585,8 +585,8 @@
         return state
 
     def on_join(self, *, ask: JoinAsk) -> JoinReply:
-        council = self.council
-        view = council.view
+        agreement = self.agreement
+        view = agreement.view
         if not self.acting_tail():
             return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
         if ask.fresh:
@@ -595,9 +595,9 @@
             snapshot = self.handed.get(ask.disk)
             told = snapshot.part(number=ask.part) if snapshot is not None and ask.part < len(snapshot.keys) else None
             return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=told)
-        if ask.mark < self.vault.base_mark:
+        if ask.mark < self.store.base_mark:
             return JoinReply(granted=False, mark=self.state.mark, entries=[])
         missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
         if len(missing) <= BATCH_MOST:
-            council.note_candidate(disk=ask.disk)
+            agreement.note_candidate(disk=ask.disk)
         return JoinReply(granted=True, mark=self.state.mark, entries=missing[:JOIN_CHUNK])
--- a/dockmux/pact/core.py
+++ b/dockmux/control/core.py
@@ -1,4 +1,4 @@
-"""One core machine's daemon: the council, the chain, the duties that go with the head, and HTTP."""
+"""One core machine's daemon: the agreement, the chain, the duties that go with the head, and HTTP."""
 
 import contextlib
 import dataclasses
@@ -32,10 +32,10 @@
 )  # fmt: skip
 from dockmux.accord.web import Visit, serve
 from dockmux.accord.wire import Caller, Desk
-from dockmux.pact.chain import Chain
-from dockmux.pact.conductor import Conductor
-from dockmux.pact.council import Council
-from dockmux.pact.vault import Vault
+from dockmux.control.chain_replica import ChainReplica
+from dockmux.control.engine_scheduler import EngineScheduler
+from dockmux.control.replica_store import ReplicaStore
+from dockmux.control.view_agreement import ViewAgreement
 from dockmux.rumour.spread import Spread
 from dockmux.tempo.gossip import Gossip
 from dockmux.tempo.peers import Peers, members_digest
@@ -62,15 +62,15 @@
         # Further tasks of this daemon, which look at the permit themselves.
         self.duties: list[Callable[[], None]] = []
         # What operators speak, where it is not this product's own interface.
-        self.office: Callable[[Visit], Iterable[bytes]] = self.site
+        self.operator_api: Callable[[Visit], Iterable[bytes]] = self.site
 
     @contextlib.contextmanager
     def running(self) -> Iterator["Core"]:
         host, settings = self.host, self.settings
         keep = timedelta(hours=settings.claimKeepHours)
-        self.vault = Vault(host=host, folder=host.folder, keep=keep)
-        self.vault.open()
-        self.peers.card = dataclasses.replace(self.peers.card, disk=self.vault.disk)
+        self.store = ReplicaStore(host=host, folder=host.folder, keep=keep)
+        self.store.open()
+        self.peers.card = dataclasses.replace(self.peers.card, disk=self.store.disk)
         with (
             host.datagrams(address=settings.address) as port,
             host.listen(address=settings.address) as listener,
@@ -81,25 +81,27 @@
         ):
             self.crew, self.caller = crew, caller
             self.gossip = Gossip(host=host, settings=settings, peers=self.peers, port=port)
-            self.council = Council(
-                host=host, settings=settings, vault=self.vault, peers=self.peers, caller=caller, crew=crew
+            self.agreement = ViewAgreement(
+                host=host, settings=settings, store=self.store, peers=self.peers, caller=caller, crew=crew
             )
-            self.chain = Chain(
-                host=host, settings=settings, vault=self.vault, council=self.council,
+            self.chain = ChainReplica(
+                host=host, settings=settings, store=self.store, agreement=self.agreement,
                 gossip=self.gossip, caller=caller,
             )  # fmt: skip
-            council, chain = self.council, self.chain
+            agreement, chain = self.agreement, self.chain
             self.spread = Spread(host=host, settings=settings, gossip=self.gossip, crew=crew, follower=chain.state)
-            conductor = Conductor(host=host, council=council, links=links, chain=chain, table=self.spread.table)
+            scheduler = EngineScheduler(
+                host=host, agreement=agreement, links=links, chain=chain, table=self.spread.table
+            )
             desk = Desk(
                 host=host,
                 listener=listener,
                 answers={
-                    FoundAsk: council.on_found,
-                    PromiseAsk: council.on_promise,
-                    AcceptAsk: council.on_accept,
-                    GrantAsk: council.on_grant,
-                    ViewNews: council.on_view_news,
+                    FoundAsk: agreement.on_found,
+                    PromiseAsk: agreement.on_promise,
+                    AcceptAsk: agreement.on_accept,
+                    GrantAsk: agreement.on_grant,
+                    ViewNews: agreement.on_view_news,
                     Append: chain.on_append,
                     ConfirmAsk: chain.on_confirm,
                     JoinAsk: chain.on_join,
@@ -108,15 +110,15 @@
                 },
             )
             for task in (
-                desk.run, self.gossip.run_receiving, self.gossip.run_asking, council.run_grants,
-                council.run_mending, chain.run_head, chain.run_confirming, chain.run_joining, chain.run_upkeep,
-                self.spread.run, self.run_duties, conductor.run,
+                desk.run, self.gossip.run_receiving, self.gossip.run_asking, agreement.run_grants,
+                agreement.run_mending, chain.run_head, chain.run_confirming, chain.run_joining, chain.run_upkeep,
+                self.spread.run, self.run_duties, scheduler.run,
             ):  # fmt: skip
                 crew.keep(task=task)
             for duty in self.duties:
                 crew.keep(task=duty)
-            crew.start(task=council.run_found)
-            crew.keep(task=serve, host=host, listener=web_listener, site=self.office)
+            crew.start(task=agreement.run_found)
+            crew.keep(task=serve, host=host, listener=web_listener, site=self.operator_api)
             host.log(Note.STARTED, role="core", name=settings.name, address=settings.address)
             yield self
 
@@ -131,13 +133,13 @@
         while True:
             self.host.sleep(wait=ms(100))
             clock = self.gossip.clock
-            if not (self.council.is_head() and self.council.under_permit()):
+            if not (self.agreement.is_head() and self.agreement.holds_lease()):
                 waiting_since = None
                 if clock.hops == 0:
                     clock.follow()
                     self.host.log(Note.SOURCE_LEFT)
                 continue
-            mark = self.council.view.number
+            mark = self.agreement.view.number
             if clock.hops == 0 and clock.source_mark == mark:
                 continue
             waiting_since = self.host.elapsed() if waiting_since is None else waiting_since
@@ -177,7 +179,7 @@
         config = state.config
         held = self.host.elapsed() - self.chain.learned[config.mark] if config else ms(0)
         return NewsReply(
-            granted=age < self.council.permit,
+            granted=age < self.agreement.lease,
             mark=state.news_mark,
             ageMs=min(to_ms(age), 86_400_000),
             heldMs=held // ms(1),
@@ -188,10 +190,10 @@
         )
 
     def _head_address(self) -> str:
-        view = self.council.view
+        view = self.agreement.view
         if view is None:
             return ""
-        return self.settings.address if self.council.is_head() else self.council.address(disk=view.chain[0]) or ""
+        return self.settings.address if self.agreement.is_head() else self.agreement.address(disk=view.chain[0]) or ""
 
     # HTTP for operators and the platform.
 
@@ -214,7 +216,7 @@
         if path == "/status":
             return visit.reply(status=200, fields=self.status())
         age = self.chain.age()
-        if age >= self.council.permit:
+        if age >= self.agreement.lease:
             why = {"why": "no tail under permit"}
             return visit.conclude(outcome=Outcome(kind=Kind.NO_MAJORITY, detail=why))
         return self._read(visit=visit)
@@ -298,18 +300,18 @@
         return {"view": told["view"] or 0, **{key: told[key] for key in kept}, **counted, **bound}
 
     def status(self) -> dict[str, Any]:
-        council, chain = self.council, self.chain
-        view = council.view
-        names = {card.disk: card.name for card in council.cores()} | {council.me: self.settings.name}
+        agreement, chain = self.agreement, self.chain
+        view = agreement.view
+        names = {card.disk: card.name for card in agreement.cores()} | {agreement.me: self.settings.name}
         config = chain.state.config
         return {
             "name": self.settings.name,
-            "disk": council.me,
+            "disk": agreement.me,
             "view": view.number if view else None,
             "chain": [names.get(disk, disk) for disk in view.chain] if view else [],
             "voters": [names.get(disk, disk) for disk in view.voters] if view else [],
-            "permit": council.under_permit(),
-            "ailing": council.ailing,
+            "permit": agreement.holds_lease(),
+            "ailing": agreement.ailing,
             "mark": chain.state.mark,
             "synced": chain.synced,
             "ageMs": min(to_ms(chain.age()), 86_400_000),
--- a/dockmux/pact/conductor.py
+++ b/dockmux/control/engine_scheduler.py
@@ -12,7 +12,7 @@
 from dockmux.accord.kinds import Kind
 from dockmux.accord.links import Links
 from dockmux.accord.span import ZERO, to_us
-from dockmux.pact.council import Council
+from dockmux.control.view_agreement import ViewAgreement
 from dockmux.rumour.usage import FRESH
 
 TICK = timedelta(milliseconds=500)
@@ -68,15 +68,15 @@
     return None
 
 
-class Conductor:
+class EngineScheduler:
     """Moves engines. Invariants: an order leaves only while the head's permit holds, and after the hush; it carries
     the permit's mark and, on the engine's own clock, the permit's end. Before it, the chain has held the move for a
     permission's length, so that no daemon sends that engine work of its old phase; the move is taken back only when
     every look that saw the old phase is too old to be used."""
 
-    def __init__(self, *, host: Host, council: Council, links: Links, chain: Any, table: Any) -> None:
+    def __init__(self, *, host: Host, agreement: ViewAgreement, links: Links, chain: Any, table: Any) -> None:
         self.host = host
-        self.council = council
+        self.agreement = agreement
         self.links = links
         self.chain = chain
         self.table = table
@@ -91,9 +91,9 @@
                 self._conduct(works=works)
 
     def _in_charge(self) -> bool:
-        council = self.council
-        hushed = self.host.elapsed() < council.acts_from + HUSH
-        return council.is_head() and council.under_permit() and not hushed
+        agreement = self.agreement
+        hushed = self.host.elapsed() < agreement.acts_from + HUSH
+        return agreement.is_head() and agreement.holds_lease() and not hushed
 
     def _look(self) -> dict[str, Work]:
         works = {}
@@ -108,7 +108,7 @@
     def _conduct(self, *, works: dict[str, Work]) -> None:
         state = self.chain.state
         for name in sorted(state.moving):
-            # Left by a conductor that did not come to the end of its move.
+            # Left by a scheduler that did not come to the end of its move.
             self.chain.write(change={"kind": "moved", "engine": name})
         engines = [engine for engine in state.engines if not engine.get("leaving")]
         for service in sorted({engine["service"] for engine in engines}):
@@ -124,7 +124,7 @@
         told = self.chain.write(change={"kind": "move", "engine": name, "phase": move.phase})
         if told.kind is not Kind.ANSWERED:
             return
-        self.host.sleep(wait=self.council.permit + TICK / 5)
+        self.host.sleep(wait=self.agreement.lease + TICK / 5)
         if self._in_charge():
             self._order(move=move)
         self.host.sleep(wait=FRESH + TICK / 5)
@@ -136,8 +136,8 @@
             with within(wait=ORDER_LIMIT), self.links.open(engine=move.engine) as stream:
                 asked = self.host.elapsed()
                 status = json.loads(stream.ask(method="GET", path="/status").read())
-                mark = self.council.view.number
-                left = self.council.permitted_until() - asked
+                mark = self.agreement.view.number
+                left = self.agreement.lease_until() - asked
                 if not self._in_charge() or left <= ZERO:
                     stream.whole = True
                     return
--- a/dockmux/pact/program.py
+++ b/dockmux/control/program.py
@@ -6,7 +6,7 @@
 from dockmux.accord.daemon import run
 from dockmux.accord.host import Host
 from dockmux.accord.settings import read_or_exit
-from dockmux.pact.core import Core
+from dockmux.control.core import Core
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/dockmux/pact/vault.py
+++ b/dockmux/control/replica_store.py
@@ -8,14 +8,14 @@
 from dockmux.accord import codec
 from dockmux.accord.catalogue import Note
 from dockmux.accord.host import Folder, Host
-from dockmux.accord.ledger import Ledger, LedgerDamaged
+from dockmux.accord.record_log import RecordLog, RecordLogDamaged
 from dockmux.accord.types import Entry, View
-from dockmux.pact.state import State
+from dockmux.control.state import State
 
 REWRITE_FROM_BYTES = 4 * 1024 * 1024
 
 
-class Vault:
+class ReplicaStore:
     """Invariants:
     - `disk` names this disk; another disk, or an emptied one, has another name, for a vote or a copy that
       was lost with a disk must not be counted again;
@@ -27,8 +27,8 @@
 
     def __init__(self, *, host: Host, folder: Folder, keep: timedelta) -> None:
         self.host = host
-        self.votes = Ledger(host=host, folder=folder, name="votes")
-        self.chain = Ledger(host=host, folder=folder, name="chain")
+        self.votes = RecordLog(host=host, folder=folder, name="votes")
+        self.chain = RecordLog(host=host, folder=folder, name="chain")
         self.keep = keep
         self.disk = ""
         self.view: View | None = None
@@ -60,7 +60,7 @@
         if parts != wanted:
             # The chain's file is there, whole, before the votes' is: else it was lost or cut off.
             self.host.log(Note.DISK_CORRUPT, file="chain", offset=0)
-            raise LedgerDamaged(0)
+            raise RecordLogDamaged(0)
         self.base_mark = self.opened.mark
 
     def _recall(self, *, record: dict[str, Any]) -> None:
@@ -165,30 +165,30 @@
         return
 
 
-def _vault(*, folder: Any) -> Vault:
-    vault = Vault(host=_Desk(), folder=folder, keep=timedelta(hours=24))
-    vault.open()
-    return vault
+def _vault(*, folder: Any) -> ReplicaStore:
+    store = ReplicaStore(host=_Desk(), folder=folder, keep=timedelta(hours=24))
+    store.open()
+    return store
 
 
-def _holds(*, vault: Vault) -> Any:
-    state = vault.opened
-    for entry in vault.entries:
+def _holds(*, store: ReplicaStore) -> Any:
+    state = store.opened
+    for entry in store.entries:
         state.fold(mark=entry.mark, change=entry.change)
     claims = sorted(state.claims.kept.items())
-    return vault.disk, vault.view, vault.level, vault.promised, vault.accepted, state.mark, state.config, claims
+    return store.disk, store.view, store.level, store.promised, store.accepted, state.mark, state.config, claims
 
 
 def test_a_power_cut_at_any_step_of_a_rewrite_of_either_file_loses_nothing():
     view = View(number=3, chain=["a"], voters=["a"])
     filled = _CutFolder(files={})
-    vault = _vault(folder=filled)
-    vault.vote(view=view, level=True)
-    vault.vote(promised={"number": 4, "ballot": 2, "proposer": "b"})
+    store = _vault(folder=filled)
+    store.vote(view=view, level=True)
+    store.vote(promised={"number": 4, "ballot": 2, "proposer": "b"})
     change = {"kind": "config", "tree": {"a": 1}, "activateUs": 5}
     claims = [{"kind": "claim", "key": f"k{n}", "holder": "h", "atUs": n * 10**9} for n in range(50)]
-    vault.append(entries=[Entry(mark=n + 1, change=c) for n, c in enumerate([change, *claims])])
-    wanted = _holds(vault=_vault(folder=_CutFolder(files=dict(filled.files))))
+    store.append(entries=[Entry(mark=n + 1, change=c) for n, c in enumerate([change, *claims])])
+    wanted = _holds(store=_vault(folder=_CutFolder(files=dict(filled.files))))
     assert wanted[5] == 51 and len(wanted[7]) == 50
     steps = (
         "before the new file",
@@ -209,25 +209,25 @@
                 cut._rewrite_votes() if file == "votes" else cut.reset(state=state)
             except _PowerCut:
                 again = _vault(folder=_CutFolder(files=dict(folder.files)))
-                assert _holds(vault=again) == wanted, (step, file)
+                assert _holds(store=again) == wanted, (step, file)
                 continue
             raise AssertionError(step)
 
 
 def test_votes_without_a_whole_chain_are_damage():
     filled = _CutFolder(files={})
-    vault = _vault(folder=filled)
+    store = _vault(folder=filled)
     claims = [{"kind": "claim", "key": f"k{n}", "holder": "h", "atUs": n * 10**9} for n in range(2000)]
-    state = vault.opened
+    state = store.opened
     for n, c in enumerate(claims):
         state.fold(mark=n + 1, change=c)
-    vault.reset(state=state)
+    store.reset(state=state)
     lines = filled.files["chain"].splitlines(keepends=True)
     assert len(lines) > 2
     for chain in (None, b"", b"".join(lines[:-1]), lines[0][:40]):
         files = {"votes": filled.files["votes"]} | ({} if chain is None else {"chain": chain})
         try:
             _vault(folder=_CutFolder(files=files))
-        except LedgerDamaged:
+        except RecordLogDamaged:
             continue
         raise AssertionError(chain)
--- a/dockmux/pact/state.py
+++ b/dockmux/control/state.py
@@ -8,7 +8,7 @@
 
 from dockmux.accord.config import CONFIGS_KEPT, Config, config_from
 from dockmux.accord.span import EPOCH
-from dockmux.pact.claims import Claims
+from dockmux.control.claims import Claims
 
 
 class State:
--- a/dockmux/pact/council.py
+++ b/dockmux/control/view_agreement.py
@@ -23,13 +23,13 @@
     VoteReply,
 )  # fmt: skip
 from dockmux.accord.wire import Caller
-from dockmux.pact.vault import Vault
+from dockmux.control.replica_store import ReplicaStore
 from dockmux.tempo.peers import Peers
 
 DRIFT_MARGIN = 1.02
 
 
-class Council:
+class ViewAgreement:
     """One core's part in agreeing on the view.
 
     Invariants:
@@ -45,21 +45,21 @@
     """
 
     def __init__(
-        self, *, host: Host, settings: Settings, vault: Vault, peers: Peers, caller: Caller, crew: Crew
+        self, *, host: Host, settings: Settings, store: ReplicaStore, peers: Peers, caller: Caller, crew: Crew
     ) -> None:
         self.host = host
         self.settings = settings
-        self.vault = vault
+        self.store = store
         self.peers = peers
         self.caller = caller
         self.crew = crew
-        self.permit = ms(settings.permitMs)
+        self.lease = ms(settings.permitMs)
         self.suspect = ms(settings.suspectMs)
         self.grants: dict[str, timedelta] = {}
         self.heard: dict[str, timedelta] = {}
         self.asking: set[str] = set()
         self.adopted_at = host.elapsed()
-        self.acts_from = host.elapsed() + self.permit * DRIFT_MARGIN
+        self.acts_from = host.elapsed() + self.lease * DRIFT_MARGIN
         self.voting = Semaphore(1)
         self.extending = Semaphore(1)
         self.ballot = 0
@@ -70,11 +70,11 @@
 
     @property
     def view(self) -> View | None:
-        return self.vault.view
+        return self.store.view
 
     @property
     def me(self) -> str:
-        return self.vault.disk
+        return self.store.disk
 
     def member(self) -> bool:
         return self.view is not None and self.me in self.view.chain
@@ -96,17 +96,17 @@
 
     # Permits.
 
-    def permitted_until(self) -> timedelta:
+    def lease_until(self) -> timedelta:
         """When this member's permit ends; zero without one."""
         if not self.member():
             return ZERO
         asked = sorted((self.grants.get(voter, ZERO) for voter in self.view.voters), reverse=True)
         needed = len(self.view.voters) // 2
-        return asked[needed] + self.permit if asked[needed] else ZERO
+        return asked[needed] + self.lease if asked[needed] else ZERO
 
-    def under_permit(self) -> bool:
+    def holds_lease(self) -> bool:
         now = self.host.elapsed()
-        return self.acts_from <= now < self.permitted_until()
+        return self.acts_from <= now < self.lease_until()
 
     def run_grants(self) -> None:
         """Every member asks every voter anew, four times a permit."""
@@ -121,7 +121,7 @@
                     if voter not in self.asking:
                         self.asking.add(voter)
                         self.crew.start(task=self._ask_grant, voter=voter, number=0)
-            self.host.sleep(wait=self.permit / 4)
+            self.host.sleep(wait=self.lease / 4)
 
     def _ask_grant(self, *, voter: str, number: int) -> None:
         try:
@@ -133,7 +133,7 @@
                 address = self.address(disk=voter)
                 if address is None:
                     return
-                reply = self.caller.call(address=address, ask=ask, wait=self.permit / 2)
+                reply = self.caller.call(address=address, ask=ask, wait=self.lease / 2)
             if reply.disk != voter:
                 return
             self.heard[voter] = self.host.elapsed()
@@ -153,7 +153,7 @@
             and view.number == ask.number
             and self.me in view.voters
             and ask.disk in view.chain
-            and not (self.vault.accepted and self.vault.accepted["number"] > view.number)
+            and not (self.store.accepted and self.store.accepted["number"] > view.number)
         )
         behind = view is not None and view.number > ask.number
         return VoteReply(granted=granted, disk=self.me, view=view if behind else None)
@@ -168,15 +168,15 @@
                 return
             level = self._stays_level(view=view)
             try:
-                self.vault.vote(view=view, level=level)
+                self.store.vote(view=view, level=level)
             except OSError as error:
                 # It was decided, whether or not this disk can note it; a restart learns it anew.
-                self.vault.view, self.vault.level = view, level
+                self.store.view, self.store.level = view, level
                 self.note_disk_failure(error=error)
             self.grants.clear()
             self.candidates.clear()
             self.adopted_at = self.host.elapsed()
-            self.acts_from = self.adopted_at + self.permit * DRIFT_MARGIN
+            self.acts_from = self.adopted_at + self.lease * DRIFT_MARGIN
         self.host.log(Note.VIEW_ADOPTED, number=view.number, chain=",".join(view.chain), voters=",".join(view.voters))
 
     def _stays_level(self, *, view: View) -> bool:
@@ -185,11 +185,11 @@
         if view.number == 1:
             return True
         old = self.view
-        return self.vault.level and old is not None and view.number == old.number + 1 and self.me in old.chain
+        return self.store.level and old is not None and view.number == old.number + 1 and self.me in old.chain
 
     def _would_lack(self, *, view: View) -> bool:
         """Whether this member would be head of a view without holding all that was acknowledged."""
-        return view.chain[0] == self.me and not self.vault.level
+        return view.chain[0] == self.me and not self.store.level
 
     def note_disk_failure(self, *, error: OSError) -> None:
         """This member is to leave the chain until its disk works again."""
@@ -199,7 +199,7 @@
 
     def _sync_vote(self, **fields: Any) -> bool:
         try:
-            self.vault.vote(**fields)
+            self.store.vote(**fields)
         except OSError as error:
             self.note_disk_failure(error=error)
             return False
@@ -215,7 +215,7 @@
 
     def _tell(self, *, address: str, view: View) -> None:
         try:
-            reply = self.caller.call(address=address, ask=ViewNews(view=view), wait=self.permit)
+            reply = self.caller.call(address=address, ask=ViewNews(view=view), wait=self.lease)
             self.learn(view=reply.view)
         except OSError:
             return
@@ -231,7 +231,7 @@
                 return VoteReply(granted=False, disk=self.me, ballot=promised[0])
             if not self._sync_vote(promised=codec.to_fields(message=ask)):
                 return VoteReply(granted=False, disk=self.me)
-            accepted = self.vault.accepted
+            accepted = self.store.accepted
             if accepted is None or accepted["number"] != ask.number:
                 return VoteReply(granted=True, disk=self.me)
             return VoteReply(
@@ -243,7 +243,7 @@
             )
 
     def _promised(self, *, number: int) -> tuple[int, str]:
-        promised = self.vault.promised
+        promised = self.store.promised
         if promised["number"] != number:
             return (0, "")
         return (promised["ballot"], promised["proposer"])
@@ -274,7 +274,7 @@
         came = Bell()
         for voter in voters:
             self.crew.start(task=self._ask_voter, ask=ask, voter=voter, answer=answer, replies=replies, came=came)
-        end = self.host.elapsed() + self.permit
+        end = self.host.elapsed() + self.lease
         while len(replies) < len(voters) and sum(reply.granted for reply in replies) < enough:
             if not came.wait(wait=end - self.host.elapsed()):
                 break
@@ -287,7 +287,7 @@
                 return
             address = self.address(disk=voter)
             if address is not None:
-                reply = self.caller.call(address=address, ask=ask, wait=self.permit)
+                reply = self.caller.call(address=address, ask=ask, wait=self.lease)
                 if reply.disk == voter:
                     replies.append(reply)
         except OSError:
@@ -331,8 +331,8 @@
         while self.view is None:
             self.host.sleep(wait=ms(300) + ms(self.host.random.randrange(200)))
             found = self._known_founders()
-            if self.vault.founding is not None:
-                self._found(view=self.vault.founding)
+            if self.store.founding is not None:
+                self._found(view=self.store.founding)
             elif self.settings.may_found and len(found) == self.settings.cores and found[0] == self.me:
                 self._found(view=View(number=1, chain=found, voters=found))
             elif not self.settings.may_found or found[0] != self.me:
@@ -360,8 +360,8 @@
         with self.voting:
             if self.view is not None:
                 return VoteReply(granted=False, disk=self.me, view=self.view)
-            if self.vault.founding is not None:
-                return VoteReply(granted=self.vault.founding == ask.view, disk=self.me)
+            if self.store.founding is not None:
+                return VoteReply(granted=self.store.founding == ask.view, disk=self.me)
             if not self.settings.may_found:
                 return VoteReply(granted=False, disk=self.me)
             if ask.view.voters != self._known_founders() or len(ask.view.voters) != self.settings.cores:
@@ -372,7 +372,7 @@
         for card in self.cores():
             try:
                 ask = GrantAsk(number=0, disk=self.me)
-                reply = self.caller.call(address=card.address, ask=ask, wait=self.permit)
+                reply = self.caller.call(address=card.address, ask=ask, wait=self.lease)
                 self.learn(view=reply.view)
             except OSError:
                 continue
@@ -394,7 +394,7 @@
             if self.me not in live or len(live) <= len(view.voters) // 2:
                 continue
             # The first live voter proposes; the others only when it has let time pass.
-            patience = self.suspect + self.permit * live.index(self.me)
+            patience = self.suspect + self.lease * live.index(self.me)
             dead = [disk for disk in view.chain if silent[disk] > patience]
             if (self.ailing or self.outrun) and self.me in view.chain:
                 dead.append(self.me)
@@ -402,7 +402,7 @@
             joiner = self._joiner(view=view)
             if joiner is not None:
                 chain.append(joiner)
-            stalled = self.vault.accepted and self.vault.accepted["number"] > view.number
+            stalled = self.store.accepted and self.store.accepted["number"] > view.number
             if not chain or not (dead or joiner or stalled):
                 continue
             if stalled and not (dead or joiner) and self.host.elapsed() - self.adopted_at < patience:
@@ -410,7 +410,7 @@
             for disk in dead:
                 self.host.log(Note.SUSPECTED, disk=disk, silentMs=to_ms(silent[disk]))
             voters = self._voters(view=view, joiner=joiner, silent=silent)
-            if chain[0] == self.me and not self.vault.level:
+            if chain[0] == self.me and not self.store.level:
                 continue
             if voters is not None and not self.propose(chain=chain, voters=voters):
                 self.host.sleep(wait=ms(self.host.random.randrange(50, 400)))
--- a/dockmux/ferry/office.py
+++ b/dockmux/ferry/operator_api.py
@@ -9,7 +9,7 @@
 from dockmux.ferry.routes import BadConfig
 
 
-class Office:
+class OperatorApi:
     """Invariants: a configuration is judged before it enters the chain, and handed back as it was sent; nothing is
     acknowledged that the chain has not."""
 
@@ -44,7 +44,7 @@
 
     def _get(self, *, visit: Visit) -> Iterable[bytes]:
         """The newest acknowledged configuration, as it was sent."""
-        if self.core.chain.age() >= self.core.council.permit:
+        if self.core.chain.age() >= self.core.agreement.lease:
             why = {"why": "no tail under permit"}
             return visit.conclude(outcome=Outcome(kind=Kind.NO_MAJORITY, detail=why))
         config = self.core.chain.state.config
--- a/dockmux/ferry/balance.py
+++ b/dockmux/ferry/phase_balancer.py
@@ -60,7 +60,7 @@
     return None
 
 
-class Balance:
+class PhaseBalancer:
     """Invariants: an order leaves only while this daemon's permit as the head holds for longer than the order can be
     on its way, and not before a whole lease has passed since any former holder's permit ended; its fence is the number
     of the view that the permit was granted under, which no other head ever has; only a part of a service's engines
@@ -80,13 +80,13 @@
         self.failing: dict[str, timedelta] = {}
 
     def in_charge(self) -> bool:
-        council = self.core.council
+        agreement = self.core.agreement
         now = self.host.elapsed()
         return (
-            council.is_head()
-            and council.under_permit()
-            and now >= council.acts_from + self.deployment.lease
-            and council.permitted_until() - now > ORDER_LIMIT
+            agreement.is_head()
+            and agreement.holds_lease()
+            and now >= agreement.acts_from + self.deployment.lease
+            and agreement.lease_until() - now > ORDER_LIMIT
         )
 
     def run(self) -> None:
@@ -106,7 +106,7 @@
             self.work.hear(daemon=summary.sender.name, works=summary.works)
             for engine, (well, _, left_ms) in summary.verdicts.items():
                 self.failing[engine] = self.host.elapsed() + (ZERO if well else ms(left_ms) + ms(1000))
-            if summary.list_digest and summary.list_digest != self.digest and self.core.council.is_head():
+            if summary.list_digest and summary.list_digest != self.digest and self.core.agreement.is_head():
                 self._fetch(address=summary.sender.address, digest=summary.list_digest)
 
     def _fetch(self, *, address: str, digest: str) -> None:
@@ -179,7 +179,7 @@
         self.host.sleep(wait=AHEAD)
         if not self.in_charge():
             return
-        fence = self.core.council.view.number
+        fence = self.core.agreement.view.number
         body = self.dialect.phase_order(phase=phase, owner=self.host.name, fence=fence)
         status = 0
         try:
--- a/dockmux/gauge/fleet.py
+++ b/dockmux/gauge/fleet.py
@@ -14,17 +14,17 @@
 from dockmux.accord.host import within
 from dockmux.accord.span import ms
 from dockmux.accord.web import HttpStream, Visit, serve
-from dockmux.ferry.balance import Balance
+from dockmux.control.core import Core
 from dockmux.ferry.deployment import Deployment
 from dockmux.ferry.dialect import Dialect, EngineEntry
 from dockmux.ferry.edge import Edge
-from dockmux.ferry.office import Office
+from dockmux.ferry.operator_api import OperatorApi
+from dockmux.ferry.phase_balancer import PhaseBalancer
 from dockmux.ferry.routes import Limits, Route, RouteTable, RunRule, Service
 from dockmux.ferry.work import TOLD_FOR
 from dockmux.gauge.hollow import HollowEdge, run_load
 from dockmux.gauge.meter import Meter, MeteredHost, MeteredWorld, deep_size
 from dockmux.omen.world import SimHost
-from dockmux.pact.core import Core
 
 PLATFORM = "10.9.0.1:9000"
 READING_PART = 0.24
@@ -112,8 +112,8 @@
 
         def run(host: SimHost) -> None:
             core = Core(host=host, settings=checked)
-            core.office = Office(core=core, dialect=self.dialect).site
-            core.duties.append(Balance(core=core, deployment=deployment, dialect=self.dialect).run)
+            core.operator_api = OperatorApi(core=core, dialect=self.dialect).site
+            core.duties.append(PhaseBalancer(core=core, deployment=deployment, dialect=self.dialect).run)
             with core.running():
                 self.cores[name] = core
                 host.sleep(wait=timedelta(days=1))
@@ -189,8 +189,8 @@
     # What is waited for.
 
     def has_head(self) -> bool:
-        return any(core.council.is_head() and core.council.under_permit() for core in self.cores.values()) and all(
-            core.council.member() and core.gossip.ready() for core in self.cores.values()
+        return any(core.agreement.is_head() and core.agreement.holds_lease() for core in self.cores.values()) and all(
+            core.agreement.member() and core.gossip.ready() for core in self.cores.values()
         )
 
     def joined(self) -> bool:
@@ -242,8 +242,8 @@
 
     def roles(self) -> dict[str, list[str]]:
         """Names of the processes in each role."""
-        view = next(iter(self.cores.values())).council.view
-        names = {core.council.me: name for name, core in self.cores.items()}
+        view = next(iter(self.cores.values())).agreement.view
+        names = {core.agreement.me: name for name, core in self.cores.items()}
         chain = [names[disk] for disk in view.chain]
         edges = sorted(self.edges)
         asker = min(self.edges.values(), key=lambda edge: edge.settings.address).settings.name
@@ -263,7 +263,7 @@
             parts = {
                 "peers": [core.peers.cards, core.peers.heard],
                 "sessions": [core.chain.sessions],
-                "configurations": [[c.tree for c in core.chain.state.configs], core.vault.entries],
+                "configurations": [[c.tree for c in core.chain.state.configs], core.store.entries],
             }
         else:
             edge = self.edges[name]
@@ -347,7 +347,7 @@
             told[role] = figures(meters=[made.hosts[name].meter for name in names], span_s=seconds)
             told[role]["state_bytes"] = made.state_bytes(name=names[0])
         fresh = made.told_part()
-        in_sight = statistics.mean(len(core.council.cores()) for core in made.cores.values())
+        in_sight = statistics.mean(len(core.agreement.cores()) for core in made.cores.values())
         made.reset()
         change_began = made.world.now()
         made.put()
--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -259,7 +259,7 @@
 def test_a_head_that_falls_silent_is_replaced_by_the_majority_that_answers():
     """The others do not wait for its vote: suspicion, a look, and two rounds of a majority."""
     with serving() as made:
-        head = next(name for name in ("core-0", "core-1", "core-2") if made.daemons[name].council.is_head())
+        head = next(name for name in ("core-0", "core-1", "core-2") if made.daemons[name].agreement.is_head())
         made.hosts[head].machine.isolated = True
         cut = made.world.now()
         made.outside.sleep(wait=6 * SECOND)
@@ -270,9 +270,9 @@
 def test_a_head_that_is_left_out_between_adding_and_passing_on_passes_nothing_on():
     with serving() as made:
         chain = next(made.daemons[name].chain for name in ("core-0", "core-1", "core-2") if
-                     made.daemons[name].council.is_head())  # fmt: skip
-        view = chain.council.view
-        chain.vault.view = View(number=2, chain=view.chain[1:], voters=view.voters)
+                     made.daemons[name].agreement.is_head())  # fmt: skip
+        view = chain.agreement.view
+        chain.store.view = View(number=2, chain=view.chain[1:], voters=view.voters)
         followed = chain.followed
         chain._push()
         assert chain.followed == followed
--- a/dockmux/omen/faults.py
+++ b/dockmux/omen/faults.py
@@ -300,10 +300,10 @@
         daemons = [self.fleet.daemons.get(name) for name in self._cores()]
         if not all(self.fleet.hosts[name].alive for name in self._cores()):
             return False
-        councils = [getattr(daemon, "council", None) for daemon in daemons]
-        disks = sorted(council.me for council in councils if council is not None)
+        agreements = [getattr(daemon, "agreement", None) for daemon in daemons]
+        disks = sorted(agreement.me for agreement in agreements if agreement is not None)
         return len(disks) == len(daemons) and all(
-            council.view is not None and sorted(council.view.chain) == disks for council in councils
+            agreement.view is not None and sorted(agreement.view.chain) == disks for agreement in agreements
         )
 
     def _core_killed(self, *, chance: random.Random, lasts: timedelta) -> None:
--- a/dockmux/omen/fleet.py
+++ b/dockmux/omen/fleet.py
@@ -11,9 +11,9 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.span import ms
 from dockmux.accord.web import fetch
+from dockmux.control.core import Core
 from dockmux.guise.engine import Engine, Speed
 from dockmux.omen.world import SimHost, World
-from dockmux.pact.core import Core
 from dockmux.stage.plan import Plan
 from dockmux.verge.edge import Edge
 
--- a/dockmux/omen/rules.py
+++ b/dockmux/omen/rules.py
@@ -13,18 +13,18 @@
 
 from dockmux.accord.catalogue import Note
 from dockmux.accord.kinds import Kind, Outcome
-from dockmux.accord.ledger import Ledger, Unsure, parse
 from dockmux.accord.links import Links
+from dockmux.accord.record_log import RecordLog, Unsure, parse
 from dockmux.accord.span import EPOCH, instant_us, ms
 from dockmux.accord.web import HttpStream
+from dockmux.control import engine_scheduler as scheduler
+from dockmux.control.chain_replica import ChainReplica
+from dockmux.control.engine_scheduler import Move
 from dockmux.guise.engine import Engine
 from dockmux.omen import checks
 from dockmux.omen.faults import Doer
 from dockmux.omen.fleet import SimFleet, fleet
 from dockmux.omen.truth import Told, Truth, rows_of
-from dockmux.pact import conductor
-from dockmux.pact.chain import Chain
-from dockmux.pact.conductor import Move
 from dockmux.rumour.usage import UsageTable
 from dockmux.stage.plan import Plan, build
 from dockmux.surge.agent import Seen, send
@@ -125,7 +125,7 @@
     def head(self) -> str:
         return next(
             name for name, daemon in sorted(self.made.daemons.items())
-            if hasattr(daemon, "council") and self.made.hosts[name].alive and daemon.council.is_head()
+            if hasattr(daemon, "agreement") and self.made.hosts[name].alive and daemon.agreement.is_head()
         )  # fmt: skip
 
     def rows(self, *, what: str, **fields: Any) -> list[Any]:
@@ -344,7 +344,7 @@
     status, told = scene.made.ask(address=address, method="PUT", path="/config", **fields)
     mark = told["mark"] if status == 200 else 0
     scene.doer.told.append(Told(sent=sent, ended=scene.made.world.now(), tree=tree, status=status, mark=mark))
-    took = [entry for entry in chain.vault.entries if entry.change.get("tree") == tree]
+    took = [entry for entry in chain.store.entries if entry.change.get("tree") == tree]
     scene.made.hosts[head].kill()
     scene.made.hosts[head].machine.disk.files.clear()
     for stream in scene.made.hosts[head].streams:
@@ -440,7 +440,7 @@
     cores = [core["name"] for core in scene.made.plan.cores]
     for name in cores:
         scene.made.hosts[name].machine.wall_offset -= timedelta(days=3)
-    tail = next(name for name in cores if scene.made.daemons[name].council.is_tail())
+    tail = next(name for name in cores if scene.made.daemons[name].agreement.is_tail())
     ends = eventlet.spawn(scene.doer._kill_for, names=[tail], lasts=3 * SECOND)
     scene.doer._kill_for(names=[name for name in [*cores, "edge-0", "edge-1"] if name != tail], lasts=SECOND)
     ends.wait()
@@ -475,10 +475,10 @@
         return
 
 
-_plan = Chain._plan
+_plan = ChainReplica._plan
 
 
-def _counts_by_the_clock(self: Chain) -> Any:
+def _counts_by_the_clock(self: ChainReplica) -> Any:
     planned = _plan(self)
     self.planned_fromUs = instant_us(self.gossip.clock.now())
     return planned
@@ -516,20 +516,20 @@
     return _take_usage(self, usage=dataclasses.replace(usage, leaving=False))
 
 
-_extend = Chain._extend
+_extend = ChainReplica._extend
 
 
-def _acknowledges_one_copy(self: Chain) -> None:
+def _acknowledges_one_copy(self: ChainReplica) -> None:
     _extend(self)
     for write in self.waiting:
         write.done.send(Outcome(kind=Kind.ANSWERED, detail={"mark": write.mark}))
     self.waiting.clear()
 
 
-_append = Ledger.append
+_append = RecordLog.append
 
 
-def _syncs_nothing(self: Ledger, *, records: list[dict[str, Any]]) -> None:
+def _syncs_nothing(self: RecordLog, *, records: list[dict[str, Any]]) -> None:
     if self.name != "chain":
         _append(self, records=records)
 
@@ -541,7 +541,7 @@
     _lead(self, mark=mark, not_before=EPOCH)
 
 
-def _is_sure(self: Ledger, *, records: list[dict[str, Any]]) -> None:
+def _is_sure(self: RecordLog, *, records: list[dict[str, Any]]) -> None:
     try:
         _append(self, records=records)
     except Unsure as error:
@@ -585,7 +585,7 @@
         number=1,
         check="once_runs_once",
         act=once_for_a_day,
-        defences={"the claims' time is no clock's": [(Chain, "_plan", _counts_by_the_clock)]},
+        defences={"the claims' time is no clock's": [(ChainReplica, "_plan", _counts_by_the_clock)]},
         early=True,
     ),
     Rule(
@@ -645,15 +645,15 @@
     Rule(
         number=9, check="configurations_are_kept", act=kept,
         defences={
-            "two copies": [(Chain, "_extend", _acknowledges_one_copy)],
-            "the sync": [(Ledger, "append", _syncs_nothing)],
+            "two copies": [(ChainReplica, "_extend", _acknowledges_one_copy)],
+            "the sync": [(RecordLog, "append", _syncs_nothing)],
         },
     ),
     Rule(
         number=9,
         check="configurations_are_kept",
         act=unsynced,
-        defences={"a refusal once it is cut off": [(Ledger, "append", _is_sure)]},
+        defences={"a refusal once it is cut off": [(RecordLog, "append", _is_sure)]},
         seed=2,
     ),
     Rule(
@@ -662,10 +662,10 @@
     ),
     Rule(
         number=11, check="one_commands_at_a_time", act=commanded, settings={"permitMs": 300, "suspectMs": 300},
-        stirs=[(conductor, "choose", _always_move), (conductor, "SETTLE", timedelta())],
+        stirs=[(scheduler, "choose", _always_move), (scheduler, "SETTLE", timedelta())],
         defences={
-            "the hush": [(conductor, "HUSH", timedelta())],
-            "the permit's end at the engine": [(conductor, "to_us", lambda span: 3_600_000_000)],
+            "the hush": [(scheduler, "HUSH", timedelta())],
+            "the permit's end at the engine": [(scheduler, "to_us", lambda span: 3_600_000_000)],
         },
     ),
     Rule(
--- a/dockmux/omen/timing.py
+++ b/dockmux/omen/timing.py
@@ -58,7 +58,7 @@
         steady = [span for at, span in probe.spread if at > 30 * SECOND]
         bounds = probe.bounds[-len(steady) :]
         rates = [rate for at, rate in probe.rates if at > 30 * SECOND]
-        head = next(d for d in made.daemons.values() if hasattr(d, "council") and d.council.is_head())
+        head = next(d for d in made.daemons.values() if hasattr(d, "agreement") and d.agreement.is_head())
         made.hosts[head.settings.name].kill()
         killed = made.world.now()
         eventlet.sleep(60)
--- a/dockmux/stage/fleet.py
+++ b/dockmux/stage/fleet.py
@@ -67,7 +67,7 @@
         fields = self.plan.daemon_settings(daemon=daemon, data_folder=data_folder)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(fields, indent=1) + "\n")
-        module = "dockmux.pact.program" if is_core else "dockmux.verge.program"
+        module = "dockmux.control.program" if is_core else "dockmux.verge.program"
         self._start(name=name, module=module, flags=["--settings", str(path)])
 
     def start_engine(self, *, engine: dict[str, Any]) -> None:
--- a/dockmux/verge/follower.py
+++ b/dockmux/verge/follower.py
@@ -33,7 +33,7 @@
         self.settings = settings
         self.gossip = gossip
         self.caller = caller
-        self.permit = ms(settings.permitMs)
+        self.lease = ms(settings.permitMs)
         self.mark = 0
         self.configs: list[Config] = []
         self.usable: dict[int, timedelta] = {}
@@ -44,7 +44,7 @@
 
     @property
     def until(self) -> timedelta:
-        return self.known_at + self.permit
+        return self.known_at + self.lease
 
     def permitted(self) -> bool:
         return self.host.elapsed() < self.until
@@ -88,7 +88,7 @@
             if not core or not self._ask(address=core, holdMs=HOLD_MS):
                 others = [address for address in cores if address != core]
                 core = self.host.random.choice(others) if others else ""
-                if self.until - self.host.elapsed() < self.permit * PEER_FROM:
+                if self.until - self.host.elapsed() < self.lease * PEER_FROM:
                     self._ask_a_peer()
                 self.host.sleep(wait=ms(20 + self.host.random.randrange(60)))
             self._note_permission()
@@ -124,8 +124,8 @@
             if config.mark in known:
                 continue
             newest = config.mark == fresh[-1].mark
-            held = min(ms(heldMs), self.permit) if newest else ZERO
-            self.usable[config.mark] = self.host.elapsed() + self.permit - held
+            held = min(ms(heldMs), self.lease) if newest else ZERO
+            self.usable[config.mark] = self.host.elapsed() + self.lease - held
             self.configs.append(config)
             self.host.log(Note.MARK_LEARNED, mark=config.mark, activate=config.activate.isoformat())
         self.configs.sort(key=lambda config: config.mark)
@@ -152,9 +152,9 @@
                 "engines": self.engines,
                 "moving": self.moving,
             }
-        held = self.host.elapsed() - self.usable[self.configs[-1].mark] + self.permit if self.configs else ZERO
+        held = self.host.elapsed() - self.usable[self.configs[-1].mark] + self.lease if self.configs else ZERO
         return NewsReply(
-            granted=age < self.permit,
+            granted=age < self.lease,
             mark=self.mark,
             ageMs=min(to_ms(age), 86_400_000),
             heldMs=max(held // ms(1), 0),
--- a/tests/balance_test.py
+++ b/tests/balance_test.py
@@ -1,6 +1,6 @@
 """Which way an engine is moved, from a service's pressure."""
 
-from dockmux.ferry.balance import Pressure, choose_phase
+from dockmux.ferry.phase_balancer import Pressure, choose_phase
 
 
 def chosen(*, readers: int, writers: int, to_read_ms: float, streams: float) -> str | None:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -11,11 +11,11 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.span import ms
 from dockmux.accord.web import fetch
-from dockmux.ferry.balance import Balance
+from dockmux.control.core import Core
 from dockmux.ferry.edge import Edge
-from dockmux.ferry.office import Office
+from dockmux.ferry.operator_api import OperatorApi
+from dockmux.ferry.phase_balancer import PhaseBalancer
 from dockmux.omen.world import SimHost, World
-from dockmux.pact.core import Core
 from tests.standins.client import Client, Request, Seen
 from tests.standins.engine import Engine, Faults, Record
 from tests.standins.engine_list import EngineList
@@ -92,8 +92,8 @@
             if rows["mclass"] == "core":
                 core = Core(host=host, settings=settings)
                 dialect = words.Words()
-                core.office = Office(core=core, dialect=dialect).site
-                core.duties.append(Balance(core=core, deployment=deployment, dialect=dialect).run)
+                core.operator_api = OperatorApi(core=core, dialect=dialect).site
+                core.duties.append(PhaseBalancer(core=core, deployment=deployment, dialect=dialect).run)
                 return core
             return Edge(host=host, settings=settings, deployment=deployment, dialect=words.Words())
 
@@ -249,7 +249,7 @@
         assert not failed and not self.world.crashes, (failed, self.world.crashes)
 
     def head(self) -> str:
-        return next(name for name in ("core-0", "core-1", "core-2") if self.daemons[name].council.is_head())
+        return next(name for name in ("core-0", "core-1", "core-2") if self.daemons[name].agreement.is_head())
 
 
 @contextmanager
