Rest every answer of the control plane on acknowledged state; leave by agreement

The own interface's transcript changes: the same order sent again is now answered 200, and another one on that mark 412 as before.

--- a/dockmux/accord/config.py
+++ b/dockmux/accord/config.py
@@ -19,6 +19,11 @@
     activate: datetime
     version: int = 0
 
+    @property
+    def number(self) -> int:
+        """What operators call it by: their own number or, without one, its mark."""
+        return self.version or self.mark
+
     def fields(self) -> dict[str, Any]:
         fields = {"mark": self.mark, "tree": self.tree, "activateUs": instant_us(self.activate)}
         return fields | {"version": self.version} if self.version else fields
--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -89,11 +89,12 @@
 @dataclass(frozen=True, kw_only=True)
 class View:
     """
-    The agreed shape of the control plane; chain and voters name disk identities.
+    The agreed shape of the control plane; chain and voters name disk identities, joined the view in which each member of the chain came in and has stayed since.
     """
     number: int
     chain: list[str]
     voters: list[str]
+    joined: dict[str, Any] = field(default_factory=dict)
 
 
 
@@ -132,7 +133,7 @@
 @dataclass(frozen=True, kw_only=True)
 class VoteReply:
     """
-    A voter's answer to a promise, an acceptance, a founding or a grant.
+    A voter's answer to a promise, an acceptance, a founding or a grant; level, on a promise, says that the voter is in the chain and holds every acknowledged entry.
     """
     granted: bool
     disk: str
@@ -140,6 +141,7 @@
     accepted_ballot: int = 0
     accepted_proposer: str = ''
     accepted: View | None = None
+    level: bool = True
     view: View | None = None
 
 
@@ -152,8 +154,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GrantAsk:
+    """
+    A member asks a voter to renew its lease; leaving says that it has been told to stop.
+    """
     number: int
     disk: str
+    leaving: bool = False
 
 
 
--- a/dockmux/control/chain_replica.py
+++ b/dockmux/control/chain_replica.py
@@ -28,6 +28,7 @@
 from dockmux.accord.wire import Caller
 from dockmux.control.replica_store import ReplicaStore
 from dockmux.control.state import Snapshot, State
+from dockmux.control.version_log import digest_of
 from dockmux.control.view_agreement import ViewAgreement
 from dockmux.tempo.gossip import Gossip
 
@@ -38,15 +39,21 @@
 STALL_LIMIT = timedelta(seconds=3)
 BATCH_MOST = 256
 JOIN_CHUNK = 2000
+# A mark that no member reaches.
+NEVER_LEVEL = 1 << 62
+# A snapshot that nobody has asked for a part of for so long is dropped.
+HANDOVER_LIMIT = timedelta(seconds=10)
 
 
 @dataclasses.dataclass(kw_only=True)
 class Write:
-    """A change on its way. Invariant: `done` is sent exactly once, with an Outcome."""
+    """A change on its way. Invariants: `done` is sent exactly once, with an Outcome; once judged, `mark` is the last
+    entry that its answer rests on, and `verdict` that answer if the change adds no entry of its own."""
 
     change: dict[str, Any]
     done: Event = dataclasses.field(default_factory=Event)
     mark: int = 0
+    verdict: Outcome | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -59,6 +66,14 @@
     untilUs: int
 
 
+@dataclasses.dataclass(kw_only=True)
+class Handover:
+    """A snapshot on its way to a core that comes in."""
+
+    snapshot: Snapshot
+    asked_at: timedelta
+
+
 class ChainReplica:
     """One member's part of the chain.
 
@@ -69,8 +84,12 @@
       `planned_at` on its own monotonic clock the claims' time stood at `planned_fromUs`;
     - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
       entry is held by every member, and the tail before may have acknowledged it;
+    - `acknowledged` is the view and the last mark of which a level tail has said under it that it holds it; a change
+      is answered, and a refusal given, only when all that it rests on is acknowledged under the present view by as
+      many members as `copies` asks for;
     - `followed` is the view and the mark up to which the successor has acknowledged under it;
-    - `handed` is the snapshot that is being handed to a core that comes in, one at a time;
+    - `handed` holds the snapshots that are being handed to cores that come in, by disk, with when they were last asked;
+    - `open_writes` counts the operators' changes that wait here for their answers;
     - `learned` says since when a configuration is known here to be acknowledged;
     - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`;
     - `renewed_at` says when each session was last renewed here by its own daemon, `reached_at` when its newest renewal
@@ -99,6 +118,8 @@
         self.planned_view = 0
         self.tail_view = 0
         self.followed = (0, 0)
+        self.acknowledged = (0, 0)
+        self.open_writes = 0
         self.extending = agreement.extending
         self.pending: list[Write] = []
         self.waiting: list[Write] = []
@@ -107,7 +128,7 @@
         self.known_at = ZERO
         self.learned: dict[int, timedelta] = {}
         self.needs_snapshot = True
-        self.handed: dict[str, Snapshot] = {}
+        self.handed: dict[str, Handover] = {}
         self.pushed_at = host.elapsed()
         self.disk_busy_since: timedelta | None = None
         self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
@@ -132,6 +153,13 @@
 
     def write(self, *, change: dict[str, Any], relayed: bool = False) -> Outcome:
         """Carries a change to the head and waits for the tail's acknowledgement, but not for ever."""
+        self.open_writes += 1
+        try:
+            return self._write(change=change, relayed=relayed)
+        finally:
+            self.open_writes -= 1
+
+    def _write(self, *, change: dict[str, Any], relayed: bool) -> Outcome:
         view = self.agreement.view
         if view is None:
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "no view yet"})
@@ -210,28 +238,33 @@
                 return
             taken, self.pending = self.pending[:BATCH_MOST], self.pending[BATCH_MOST:]
             accepted: list[Write] = []
+            answered: list[Write] = []
             planned = self.planned.copy()
             entries: list[Entry] = []
             for write in taken:
-                outcome = self._judge(write=write, planned=planned)
-                if outcome is not None:
-                    write.done.send(outcome)
+                write.verdict = self._judge(write=write, planned=planned)
+                if write.verdict is not None:
+                    write.mark = planned.mark
+                    answered.append(write)
                     continue
                 write.mark = planned.mark + 1
                 planned.fold(mark=write.mark, change=write.change)
                 entries.append(Entry(mark=write.mark, change=write.change))
                 accepted.append(write)
-            if not entries:
-                return
             try:
-                self._sync(entries=entries)
+                if entries:
+                    self._sync(entries=entries)
             except OSError as error:
+                for write in answered:
+                    why = {"why": "what it was judged by could not be stored"}
+                    write.done.send(Outcome(kind=Kind.NO_MAJORITY, detail=why))
                 kind = Kind.UNKNOWN if isinstance(error, Unsure) else Kind.DISK_FULL
                 for write in accepted:
                     write.done.send(Outcome(kind=kind, detail={"why": str(error)}))
                 raise
             self.planned = planned
-            self.waiting.extend(accepted)
+            self.waiting.extend([*accepted, *answered])
+            self._answer_acknowledged()
 
     def _sync(self, *, entries: list[Entry]) -> None:
         self.disk_busy_since = self.host.elapsed()
@@ -268,25 +301,38 @@
         return None
 
     def _judge_version(self, *, change: dict[str, Any], planned: State) -> Outcome | None:
-        """A configuration builds on the current one. Where operators number them, the number must rise, and one that
-        was taken before, resent for want of a clear answer, is told so - once it is acknowledged."""
-        if "version" not in change:
-            current = planned.config.mark if planned.config else 0
-            stale = change["based_on"] != current
-            return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark": current}) if stale else None
-        version = change["version"]
-        for config in planned.configs:
-            if config.version == version and config.tree == change["tree"]:
-                if config.mark <= self.state.mark:
-                    return Outcome(kind=Kind.ANSWERED, detail={"mark": config.mark, "version": version})
-                return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "taken up, not acknowledged yet"})
-        current = planned.config.version if planned.config else 0
-        if change["based_on"] != current:
-            return Outcome(kind=Kind.MARK_OUTDATED, detail={"version": current})
-        if version <= current:
+        """A configuration builds on the current one. Where operators number them, the number must rise. One that was
+        taken before, sent again for want of a clear answer, is told so, whatever was taken since."""
+        digest = digest_of(tree=change["tree"])
+        change["digest"] = digest.hex()
+        versions = planned.versions
+        based_on, version = change["based_on"], change.get("version")
+        if version is None:
+            known = based_on is None or based_on >= versions.forgotten_upto
+            taken = versions.built_on(number=based_on) if known and based_on is not None else None
+        else:
+            known = version > versions.forgotten_upto
+            taken = versions.taken(number=version)
+        if taken is not None and taken.digest == digest:
+            return self._taken_before(number=taken.number, planned=planned)
+        current = planned.config.number if planned.config else 0
+        if based_on != current and not known:
+            return Outcome(kind=Kind.UNKNOWN, detail={"why": "too old: it is no longer known whether it was taken"})
+        if based_on != current:
+            return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark" if version is None else "version": current})
+        if version is not None and version <= current:
             return Outcome(kind=Kind.INVALID, detail={"errors": [f"the version must be above {current}"]})
         return None
 
+    def _taken_before(self, *, number: int, planned: State) -> Outcome:
+        detail: dict[str, Any] = {"mark": number}
+        for config in planned.configs:
+            if config.number == number:
+                detail = {"mark": config.mark, "activateUs": instant_us(config.activate)}
+                if config.version:
+                    detail["version"] = config.version
+        return Outcome(kind=Kind.ANSWERED, detail=detail)
+
     # Passing on.
 
     def _successor(self) -> str | None:
@@ -302,7 +348,8 @@
         number = self.agreement.view.number
         successor = self._successor()
         if successor is None:
-            self.acting_tail()
+            if self.acting_tail():
+                self._acknowledge(mark=self.synced)
             self.pushed_at = self.host.elapsed()
             self.host.sleep(wait=ms(50))
             return
@@ -313,7 +360,9 @@
         mark = self.state.mark
         for _ in range(1000):
             entries = self._after(mark=mark)[:BATCH_MOST]
-            ask = Append(number=number, mark=mark, upto=self.synced, entries=entries)
+            # Only a level member can bring its successor up.
+            upto = self.synced if self.store.level else NEVER_LEVEL
+            ask = Append(number=number, mark=mark, upto=upto, entries=entries)
             reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
             if self.agreement.view.number != number:
                 return
@@ -382,17 +431,31 @@
         self._note_learned()
         if self.state.news_mark != newest:
             self.news.ring()
-        done = [write for write in self.waiting if write.mark <= self.state.mark]
-        self.waiting = [write for write in self.waiting if write.mark > self.state.mark]
+        number = self.agreement.view.number
+        before = self.acknowledged[1] if self.acknowledged[0] == number else 0
+        self.acknowledged = (number, max(mark, before))
+        self._answer_acknowledged()
+
+    def _answer_acknowledged(self) -> None:
+        """Answers the changes whose answers rest on nothing that is not acknowledged under the present view."""
+        view = self.agreement.view
+        number, mark = self.acknowledged
+        if number != view.number:
+            return
+        done = [write for write in self.waiting if write.mark <= mark]
+        self.waiting = [write for write in self.waiting if write.mark > mark]
         for write in done:
-            if len(self.agreement.view.chain) < 2:
-                why = {"why": "one copy only"}
+            if len(view.chain) < self.settings.copies:
+                why = {"why": f"{len(view.chain)} copies only: {self.settings.copies} must hold a change"}
                 write.done.send(Outcome(kind=Kind.UNKNOWN, detail=why))
-                continue
-            detail = {"mark": write.mark}
-            if "activateUs" in write.change:
-                detail["activateUs"] = write.change["activateUs"]
-            write.done.send(Outcome(kind=Kind.ANSWERED, detail=detail))
+            else:
+                write.done.send(write.verdict or self._taken(write=write))
+
+    def _taken(self, *, write: Write) -> Outcome:
+        detail = {"mark": write.mark}
+        if "activateUs" in write.change:
+            detail["activateUs"] = write.change["activateUs"]
+        return Outcome(kind=Kind.ANSWERED, detail=detail)
 
     def _note_learned(self) -> None:
         for config in self.state.configs:
@@ -441,33 +504,47 @@
     def run_confirming(self) -> None:
         while True:
             self.host.sleep(wait=self.agreement.lease / 8)
-            agreement = self.agreement
-            if not agreement.member() or agreement.is_tail():
-                continue
-            tail = agreement.view.chain[-1]
-            address = agreement.address(disk=tail)
-            if address is None:
-                continue
-            if self.shared.tail != tail:
-                self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
-            sent = self.host.elapsed()
-            ask = ConfirmAsk(
-                number=agreement.view.number,
-                sessions=self.own_sessions(since=self.shared.upto, at=self.renewed_at),
-                sinceUs=self.shared.untilUs,
-            )
-            try:
-                reply = self.caller.call(address=address, ask=ask, wait=agreement.lease / 2)
-            except OSError:
-                # It may have been begun anew: then it holds nothing of what it was told.
-                self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
-                continue
-            self.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
-            agreement.learn(view=reply.view)
-            if reply.granted and agreement.view.number == ask.number and reply.mark <= self.synced:
-                self._acknowledge(mark=reply.mark)
-                self.known_at = max(self.known_at, sent)
-            self._hear_sessions(cards=reply.sessions)
+            if self.agreement.member() and not self.agreement.is_tail():
+                self._confirm_once()
+
+    def confirm(self) -> bool:
+        """Whether all that was acknowledged before this call is in the state now: the tail says so under its lease,
+        after the call began. Any member may ask; it takes one exchange with the tail, or none at the tail."""
+        if self.acting_tail():
+            return True
+        if not self.agreement.member() or self.agreement.is_tail():
+            return False
+        began = self.host.elapsed()
+        self._confirm_once()
+        return self.known_at >= began
+
+    def _confirm_once(self) -> None:
+        """Asks the tail what is acknowledged; control daemons tell each other of sessions with it."""
+        agreement = self.agreement
+        tail = agreement.view.chain[-1]
+        address = agreement.address(disk=tail)
+        if address is None:
+            return
+        if self.shared.tail != tail:
+            self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
+        sent = self.host.elapsed()
+        ask = ConfirmAsk(
+            number=agreement.view.number,
+            sessions=self.own_sessions(since=self.shared.upto, at=self.renewed_at),
+            sinceUs=self.shared.untilUs,
+        )
+        try:
+            reply = self.caller.call(address=address, ask=ask, wait=agreement.lease / 2)
+        except OSError:
+            # It may have been begun anew: then it holds nothing of what it was told.
+            self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
+            return
+        self.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
+        agreement.learn(view=reply.view)
+        if reply.granted and agreement.view.number == ask.number and reply.mark <= self.synced:
+            self._acknowledge(mark=reply.mark)
+            self.known_at = max(self.known_at, sent)
+        self._hear_sessions(cards=reply.sessions)
 
     def on_confirm(self, *, ask: ConfirmAsk) -> ConfirmReply:
         agreement = self.agreement
@@ -520,18 +597,19 @@
         while True:
             self.host.sleep(wait=ms(300))
             agreement = self.agreement
-            if agreement.view is None or agreement.ailing:
+            if agreement.view is None or agreement.ailing or agreement.leaving:
                 continue
             if agreement.member():
                 self.needs_snapshot = True
                 continue
             address = agreement.address(disk=agreement.view.chain[-1])
             if address is None:
+                agreement.ask_for_view()
                 continue
             try:
                 self._join_once(address=address)
             except OSError:
-                continue
+                agreement.ask_for_view()
 
     def _join_once(self, *, address: str) -> None:
         if self.needs_snapshot:
@@ -590,14 +668,23 @@
         if not self.acting_tail():
             return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
         if ask.fresh:
-            if ask.part == 0:
-                self.handed = {ask.disk: self.state.snapshot()}
-            snapshot = self.handed.get(ask.disk)
-            told = snapshot.part(number=ask.part) if snapshot is not None and ask.part < len(snapshot.keys) else None
-            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=told)
+            part = self._snapshot_part(ask=ask)
+            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=part)
         if ask.mark < self.store.base_mark:
             return JoinReply(granted=False, mark=self.state.mark, entries=[])
         missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
         if len(missing) <= BATCH_MOST:
             agreement.note_candidate(disk=ask.disk)
         return JoinReply(granted=True, mark=self.state.mark, entries=missing[:JOIN_CHUNK])
+
+    def _snapshot_part(self, *, ask: JoinAsk) -> dict[str, Any] | None:
+        """The part asked for, of the snapshot that this core began with; several may come in at once."""
+        now = self.host.elapsed()
+        self.handed = {d: h for d, h in self.handed.items() if now - h.asked_at < HANDOVER_LIMIT}
+        if ask.part == 0:
+            self.handed[ask.disk] = Handover(snapshot=self.state.snapshot(), asked_at=now)
+        handover = self.handed.get(ask.disk)
+        if handover is None or ask.part >= len(handover.snapshot):
+            return None
+        handover.asked_at = now
+        return handover.snapshot.part(number=ask.part)
--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -123,8 +123,9 @@
             yield self
 
     def drain(self) -> int:
-        """A core holds no requests: it may stop at once."""
-        return 0
+        """Has this member leave the chain by agreement; counts what its stop still has to wait for."""
+        self.agreement.leaving = True
+        return self.agreement.must_stay() + self.chain.open_writes
 
     # Duties that go with the head, under its permit.
 
@@ -215,9 +216,8 @@
             return visit.reply(status=200, fields=self.gossip.report())
         if path == "/status":
             return visit.reply(status=200, fields=self.status())
-        age = self.chain.age()
-        if age >= self.agreement.lease:
-            why = {"why": "no tail under permit"}
+        if not self.chain.confirm():
+            why = {"why": "the tail did not confirm under its permit"}
             return visit.conclude(outcome=Outcome(kind=Kind.NO_MAJORITY, detail=why))
         return self._read(visit=visit)
 
--- a/dockmux/control/engine_scheduler.py
+++ b/dockmux/control/engine_scheduler.py
@@ -93,7 +93,7 @@
     def _in_charge(self) -> bool:
         agreement = self.agreement
         hushed = self.host.elapsed() < agreement.acts_from + HUSH
-        return agreement.is_head() and agreement.holds_lease() and not hushed
+        return agreement.is_head() and agreement.holds_lease() and not hushed and not agreement.leaving
 
     def _look(self) -> dict[str, Work]:
         works = {}
--- /dev/null
+++ b/dockmux/control/version_log.py
@@ -0,0 +1,113 @@
+"""A compact record of every configuration version that was taken, so that an order sent again is recognized."""
+
+import base64
+import dataclasses
+import hashlib
+import json
+import struct
+from typing import Any
+
+from pyrsistent import PVector, pvector
+
+DIGEST_BYTES = 8
+_RECORD = struct.Struct(f">Q{DIGEST_BYTES}s")
+# Records are kept in blocks of this many; a full block is never changed again.
+BLOCK_RECORDS = 4096
+# At 1,700 changes a day this is more than a year and a half, in 16 MB.
+KEPT_RECORDS = 1_000_000
+
+
+def digest_of(*, tree: Any) -> bytes:
+    """What two configurations are compared by."""
+    packed = json.dumps(tree, sort_keys=True, separators=(",", ":")).encode()
+    return hashlib.blake2b(packed, digest_size=DIGEST_BYTES).digest()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TakenVersion:
+    """One version that was taken, by its number and the digest of its configuration."""
+
+    number: int
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VersionLog:
+    """Taken versions in the order of their numbers, which is the order in which they were taken.
+
+    Invariants: numbers rise; each version builds on the one before it; every version above `forgotten_upto` that was
+    ever taken is in here; a log is never changed, so that copies share their blocks.
+    """
+
+    blocks: PVector = dataclasses.field(default_factory=pvector)
+    tail: bytes = b""
+    forgotten_upto: int = 0
+
+    def __len__(self) -> int:
+        return len(self.blocks) * BLOCK_RECORDS + len(self.tail) // _RECORD.size
+
+    def __getitem__(self, place: int) -> TakenVersion:
+        block, offset = divmod(place, BLOCK_RECORDS)
+        data = self.blocks[block] if block < len(self.blocks) else self.tail
+        number, digest = _RECORD.unpack_from(data, offset * _RECORD.size)
+        return TakenVersion(number=number, digest=digest)
+
+    @property
+    def last_number(self) -> int:
+        return self[len(self) - 1].number if len(self) else self.forgotten_upto
+
+    def append(self, *, number: int, digest: bytes) -> "VersionLog":
+        """With one more version. A number that does not rise ends the order: all before it is then forgotten."""
+        if number <= self.last_number:
+            return VersionLog(forgotten_upto=self.last_number)
+        tail = self.tail + _RECORD.pack(number, digest)
+        if len(tail) < BLOCK_RECORDS * _RECORD.size:
+            return dataclasses.replace(self, tail=tail)
+        blocks = self.blocks.append(tail)
+        if len(blocks) * BLOCK_RECORDS <= KEPT_RECORDS:
+            return dataclasses.replace(self, blocks=blocks, tail=b"")
+        forgotten_upto, _ = _RECORD.unpack_from(blocks[0], (BLOCK_RECORDS - 1) * _RECORD.size)
+        return VersionLog(blocks=blocks[1:], tail=b"", forgotten_upto=forgotten_upto)
+
+    def find(self, *, number: int) -> int | None:
+        """The place of a version; None when it is not in here."""
+        low, high = 0, len(self)
+        while low < high:
+            middle = (low + high) // 2
+            if self[middle].number < number:
+                low = middle + 1
+            else:
+                high = middle
+        return low if low < len(self) and self[low].number == number else None
+
+    def taken(self, *, number: int) -> TakenVersion | None:
+        """The version that was taken under this number."""
+        place = self.find(number=number)
+        return None if place is None else self[place]
+
+    def built_on(self, *, number: int) -> TakenVersion | None:
+        """The version that was taken on top of this one."""
+        if number == self.forgotten_upto:
+            following = 0
+        else:
+            place = self.find(number=number)
+            if place is None:
+                return None
+            following = place + 1
+        return self[following] if following < len(self) else None
+
+    # For snapshots: one row a block, and the unfinished block last.
+
+    def rows(self) -> int:
+        return len(self.blocks) + 1
+
+    def row(self, *, place: int) -> str:
+        data = self.blocks[place] if place < len(self.blocks) else self.tail
+        return base64.b64encode(data).decode()
+
+    def with_row(self, *, row: str) -> "VersionLog":
+        """With the records of the next row of another log."""
+        data = base64.b64decode(row)
+        if len(data) == BLOCK_RECORDS * _RECORD.size:
+            return dataclasses.replace(self, blocks=self.blocks.append(data))
+        return dataclasses.replace(self, tail=data)
--- a/dockmux/control/view_agreement.py
+++ b/dockmux/control/view_agreement.py
@@ -1,5 +1,6 @@
 """The agreed view: founding, one agreement per view number, and the permits that a majority grants."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -29,6 +30,16 @@
 DRIFT_MARGIN = 1.02
 
 
+def _granted(replies: list[VoteReply]) -> int:
+    return sum(reply.granted for reply in replies)
+
+
+def _enough_level(replies: list[VoteReply], *, view: View, copies: int) -> bool:
+    """Whether the view's head, and so many of its members in all, have said that they are level."""
+    level = {reply.disk for reply in replies if reply.granted and reply.level}
+    return view.chain[0] in level and len(level.intersection(view.chain)) >= copies
+
+
 class ViewAgreement:
     """One core's part in agreeing on the view.
 
@@ -40,7 +51,10 @@
     - a core votes only under a view that names its disk as a voter;
     - `ailing` says that the last write to this disk failed or stalls, `outrun` that the entries which this member
       lacks are no longer kept one by one; either has it left out of the chain;
-    - nobody that is not level becomes a view's head: it refuses to accept such a view;
+    - nobody that is not level becomes a view's head: it refuses to accept such a view, and nobody proposes a view
+      whose head has not said, with its promise, that it is level;
+    - a member that is `leaving` neither acts as holder of the order lease nor comes back in; it leaves the chain by a
+      view that enough level members remain in;
     - `extending` is held while entries are added to the chain, and no view is taken over meanwhile.
     """
 
@@ -65,6 +79,8 @@
         self.ballot = 0
         self.ailing = False
         self.outrun = False
+        self.leaving = False
+        self.leaving_peers: set[str] = set()
         self.candidates: dict[str, timedelta] = {}
         self.refused_until: dict[str, timedelta] = {}
 
@@ -126,7 +142,7 @@
     def _ask_grant(self, *, voter: str, number: int) -> None:
         try:
             sent = self.host.elapsed()
-            ask = GrantAsk(number=number, disk=self.me)
+            ask = GrantAsk(number=number, disk=self.me, leaving=self.leaving)
             if voter == self.me:
                 reply = self.on_grant(ask=ask)
             else:
@@ -147,6 +163,10 @@
 
     def on_grant(self, *, ask: GrantAsk) -> VoteReply:
         self.heard[ask.disk] = self.host.elapsed()
+        if ask.leaving:
+            self.leaving_peers.add(ask.disk)
+        else:
+            self.leaving_peers.discard(ask.disk)
         view = self.view
         granted = (
             view is not None
@@ -180,12 +200,21 @@
         self.host.log(Note.VIEW_ADOPTED, number=view.number, chain=",".join(view.chain), voters=",".join(view.voters))
 
     def _stays_level(self, *, view: View) -> bool:
-        """Whoever was level and keeps its place stays so; whoever is new in the chain must first be brought up by
-        its predecessor, for it was taken in while entries were still being acknowledged without it."""
+        """Whoever was level and has kept its place since stays so, also where views between were missed; whoever is
+        new in the chain must first be brought up by its predecessor, for it was taken in while entries were still
+        being acknowledged without it."""
+        if self.me not in view.chain:
+            return False
         if view.number == 1:
             return True
         old = self.view
-        return self.store.level and old is not None and view.number == old.number + 1 and self.me in old.chain
+        if old is None or self.me not in old.chain or not self.store.level:
+            return False
+        return view.joined.get(self.me, view.number - 1) <= old.number
+
+    def _is_level(self) -> bool:
+        """Whether this member holds every entry that was acknowledged."""
+        return self.member() and self.store.level
 
     def _would_lack(self, *, view: View) -> bool:
         """Whether this member would be head of a view without holding all that was acknowledged."""
@@ -233,10 +262,11 @@
                 return VoteReply(granted=False, disk=self.me)
             accepted = self.store.accepted
             if accepted is None or accepted["number"] != ask.number:
-                return VoteReply(granted=True, disk=self.me)
+                return VoteReply(granted=True, disk=self.me, level=self._is_level())
             return VoteReply(
                 granted=True,
                 disk=self.me,
+                level=self._is_level(),
                 accepted_ballot=accepted["ballot"],
                 accepted_proposer=accepted["proposer"],
                 accepted=codec.from_fields(kind=View, fields=accepted["view"]),
@@ -268,14 +298,16 @@
             )
             return VoteReply(granted=synced, disk=self.me)
 
-    def _ask_voters(self, *, ask: Any, voters: list[str], answer: Any, enough: int) -> list[VoteReply]:
-        """Asks all voters at once; gives the replies that had come when enough had granted it, or when time was up."""
+    def _ask_voters(
+        self, *, ask: Any, voters: list[str], answer: Any, enough: Callable[[list[VoteReply]], bool]
+    ) -> list[VoteReply]:  # fmt: skip
+        """Asks all voters at once; gives the replies that had come when they were enough, or when time was up."""
         replies: list[VoteReply] = []
         came = Bell()
         for voter in voters:
             self.crew.start(task=self._ask_voter, ask=ask, voter=voter, answer=answer, replies=replies, came=came)
         end = self.host.elapsed() + self.lease
-        while len(replies) < len(voters) and sum(reply.granted for reply in replies) < enough:
+        while len(replies) < len(voters) and not enough(replies):
             if not came.wait(wait=end - self.host.elapsed()):
                 break
         return list(replies)
@@ -295,31 +327,52 @@
         finally:
             came.ring()
 
-    def propose(self, *, chain: list[str], voters: list[str]) -> bool:
-        """Tries to have the next view agreed on; what was accepted before goes first."""
+    def propose(self, *, chain: list[str], voters: list[str], copies: int = 1) -> bool:
+        """Tries to have the next view agreed on; what was accepted before goes first. Its head, and so many members in
+        all, must be known to be level: a level member stays so until the view is taken over."""
         old = self.view
-        wanted = View(number=old.number + 1, chain=chain, voters=voters)
+        wanted = View(number=old.number + 1, chain=chain, voters=voters, joined=self._joined(chain=chain))
         self.host.log(Note.VIEW_PROPOSED, number=wanted.number, chain=",".join(chain), voters=",".join(voters))
         self.ballot += 1
         majority = len(old.voters) // 2 + 1
         ask = PromiseAsk(number=wanted.number, ballot=self.ballot, proposer=self.me)
-        promises = self._ask_voters(ask=ask, voters=old.voters, answer=self.on_promise, enough=majority)
+
+        def promised(replies: list[VoteReply]) -> bool:
+            told_before = any(reply.accepted is not None for reply in replies)
+            return _granted(replies) >= majority and (
+                told_before or _enough_level(replies, view=wanted, copies=copies)
+            )  # fmt: skip
+
+        promises = self._ask_voters(ask=ask, voters=old.voters, answer=self.on_promise, enough=promised)
         self._heed(replies=promises)
-        granted = [reply for reply in promises if reply.granted]
-        if len(granted) < majority or self.view is not old:
+        if _granted(promises) < majority or self.view is not old:
+            return False
+        earlier = [reply for reply in promises if reply.granted and reply.accepted is not None]
+        if not earlier and not _enough_level(promises, view=wanted, copies=copies):
             return False
-        earlier = [reply for reply in granted if reply.accepted is not None]
         if earlier:
             wanted = max(earlier, key=lambda reply: (reply.accepted_ballot, reply.accepted_proposer)).accepted
         accept = AcceptAsk(ballot=self.ballot, proposer=self.me, view=wanted)
-        accepts = self._ask_voters(ask=accept, voters=old.voters, answer=self.on_accept, enough=majority)
+
+        def accepted(replies: list[VoteReply]) -> bool:
+            return _granted(replies) >= majority
+
+        accepts = self._ask_voters(ask=accept, voters=old.voters, answer=self.on_accept, enough=accepted)
         self._heed(replies=accepts)
-        if sum(reply.granted for reply in accepts) < majority:
+        if _granted(accepts) < majority:
             return False
         self._spread(view=wanted)
         self.learn(view=wanted)
         return True
 
+    def _joined(self, *, chain: list[str]) -> dict[str, int]:
+        """Since which view each member of the next chain has been in it without a break."""
+        view = self.view
+        next_number = view.number + 1
+        return {
+            disk: view.joined.get(disk, view.number) if disk in view.chain else next_number for disk in chain
+        }  # fmt: skip
+
     def _heed(self, *, replies: list[VoteReply]) -> None:
         for reply in replies:
             self.ballot = max(self.ballot, reply.ballot)
@@ -336,7 +389,7 @@
             elif self.settings.may_found and len(found) == self.settings.cores and found[0] == self.me:
                 self._found(view=View(number=1, chain=found, voters=found))
             elif not self.settings.may_found or found[0] != self.me:
-                self._ask_for_view()
+                self.ask_for_view()
 
     def _known_founders(self) -> list[str]:
         """As many as are to found it; where there are more, those behind the seeds first: any two such sets share
@@ -349,9 +402,13 @@
 
     def _found(self, *, view: View) -> None:
         ask = FoundAsk(view=view)
-        replies = self._ask_voters(ask=ask, voters=view.voters, answer=self.on_found, enough=len(view.voters))
+
+        def unanimous(replies: list[VoteReply]) -> bool:
+            return _granted(replies) == len(view.voters)
+
+        replies = self._ask_voters(ask=ask, voters=view.voters, answer=self.on_found, enough=unanimous)
         self._heed(replies=replies)
-        if sum(reply.granted for reply in replies) == len(view.voters) and self.view is None:
+        if unanimous(replies) and self.view is None:
             self.host.log(Note.FOUNDED, voters=",".join(view.voters))
             self.learn(view=view)
             self._spread(view=view)
@@ -368,10 +425,11 @@
                 return VoteReply(granted=False, disk=self.me)
             return VoteReply(granted=self._sync_vote(founding=ask.view), disk=self.me)
 
-    def _ask_for_view(self) -> None:
+    def ask_for_view(self) -> None:
+        """Asks every core for a newer view: news of one are told once, and may be lost."""
         for card in self.cores():
             try:
-                ask = GrantAsk(number=0, disk=self.me)
+                ask = GrantAsk(number=self.view.number if self.view else 0, disk=self.me)
                 reply = self.caller.call(address=card.address, ask=ask, wait=self.lease)
                 self.learn(view=reply.view)
             except OSError:
@@ -398,6 +456,9 @@
             dead = [disk for disk in view.chain if silent[disk] > patience]
             if (self.ailing or self.outrun) and self.me in view.chain:
                 dead.append(self.me)
+            planned_leave = self._may_leave(remaining=[disk for disk in view.chain if disk not in dead])
+            if planned_leave:
+                dead.append(self.me)
             chain = [disk for disk in view.chain if disk not in dead]
             joiner = self._joiner(view=view)
             if joiner is not None:
@@ -412,9 +473,21 @@
             voters = self._voters(view=view, joiner=joiner, silent=silent)
             if chain[0] == self.me and not self.store.level:
                 continue
-            if voters is not None and not self.propose(chain=chain, voters=voters):
+            copies = self.settings.copies if planned_leave else 1
+            if voters is not None and not self.propose(chain=chain, voters=voters, copies=copies):
                 self.host.sleep(wait=ms(self.host.random.randrange(50, 400)))
 
+    def _may_leave(self, *, remaining: list[str]) -> bool:
+        """Whether this member is to leave as planned, and enough would remain without it."""
+        return self.leaving and self.me in remaining and len(remaining) > self.settings.copies
+
+    def must_stay(self) -> bool:
+        """Whether a member that was told to stop still has to wait for a view without it; not where no other member
+        stays, for then every disk stops as it is."""
+        if not self.member():
+            return False
+        return any(disk != self.me and disk not in self.leaving_peers for disk in self.view.chain)
+
     def _joiner(self, *, view: View) -> str | None:
         now = self.host.elapsed()
         for disk in sorted(self.candidates):
--- a/dockmux/ferry/operator_api.py
+++ b/dockmux/ferry/operator_api.py
@@ -44,8 +44,8 @@
 
     def _get(self, *, visit: Visit) -> Iterable[bytes]:
         """The newest acknowledged configuration, as it was sent."""
-        if self.core.chain.age() >= self.core.agreement.lease:
-            why = {"why": "no tail under permit"}
+        if not self.core.chain.confirm():
+            why = {"why": "the tail did not confirm under its permit"}
             return visit.conclude(outcome=Outcome(kind=Kind.NO_MAJORITY, detail=why))
         config = self.core.chain.state.config
         if config is None:
--- a/dockmux/ferry/phase_balancer.py
+++ b/dockmux/ferry/phase_balancer.py
@@ -84,6 +84,7 @@
         now = self.host.elapsed()
         return (
             agreement.is_head()
+            and not agreement.leaving
             and agreement.holds_lease()
             and now >= agreement.acts_from + self.deployment.lease
             and agreement.lease_until() - now > ORDER_LIMIT
--- a/dockmux/omen/exchanges.py
+++ b/dockmux/omen/exchanges.py
@@ -175,7 +175,10 @@
         ask(method="PUT", path="/config", fields=tree, mark='"1"')
         ask(method="PUT", path="/config", fields=tree, mark='"2"')
         told[-1][2].pop("activateUs")
+        # The same order again, as after a lost answer; then another one on the same mark.
         ask(method="PUT", path="/config", fields=tree, mark='"2"')
+        told[-1][2].pop("activateUs")
+        ask(method="PUT", path="/config", fields={**tree, "sites": {}}, mark='"2"')
         ask(method="GET", path="/config/99")
         ask(method="GET", path="/explain/ask?site=a")
         ask(method="GET", path="/explain/none")
