--- a/tests/settings_file_test.py
+++ b/tests/settings_file_test.py
@@ -104,3 +104,12 @@
     _write(tmp_path=tmp_path, monkeypatch=monkeypatch, data=b"ip=\xff\xfe\n")
     with pytest.raises(BadSetting):
         settings_file.read()
+
+
+@pytest.mark.parametrize(
+    ("survive", "copies"), [({"nodes": "2"}, 3), ({"nodes": "0", "zones": "1"}, 2), ({"nodes": "1", "rgns": "2"}, 3)]
+)
+def test_whatever_may_be_lost_at_once_leaves_a_copy_and_a_majority(survive, copies):
+    changed = {f"survive.{what}": count for what, count in {"zones": "0", "rgns": "0", **survive}.items()}
+    read = settings_file.settings(lines=lines(name="core-0", zone=0, machine="core", **changed))
+    assert (read.copies, read.cores) == (copies, 2 * copies - 1)
