--- a/dockmux/control/chain_replica.py
+++ b/dockmux/control/chain_replica.py
@@ -12,23 +12,21 @@
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.record_log import Unsure
 from dockmux.accord.settings_type import Settings
-from dockmux.accord.span import UNBOUNDED, ZERO, instant_us, ms, to_us, us
+from dockmux.accord.span import ZERO, instant_us, ms, to_us, us
 from dockmux.accord.types import (
     Append,
     Appended,
     ConfirmAsk,
     ConfirmReply,
     Entry,
-    JoinAsk,
-    JoinReply,
-    PeerCard,
     WriteAsk,
     WriteReply,
 )  # fmt: skip
 from dockmux.accord.wire import Caller
 from dockmux.control.replica_store import ReplicaStore
-from dockmux.control.state import Snapshot, State
-from dockmux.control.version_log import digest_of
+from dockmux.control.sessions import Sessions, Shared
+from dockmux.control.state import State
+from dockmux.control.version_check import judge_version
 from dockmux.control.view_agreement import ViewAgreement
 from dockmux.tempo.gossip import Gossip
 
@@ -38,11 +36,8 @@
 PULSE = timedelta(milliseconds=250)
 STALL_LIMIT = timedelta(seconds=3)
 BATCH_MOST = 256
-JOIN_CHUNK = 2000
 # A mark that no member reaches.
 NEVER_LEVEL = 1 << 62
-# A snapshot that nobody has asked for a part of for so long is dropped.
-HANDOVER_LIMIT = timedelta(seconds=10)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -56,24 +51,6 @@
     verdict: Outcome | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Shared:
-    """What this member and a tail have told each other of sessions. Invariant: all that was renewed here before `upto`
-    is known there, and all that had reached it before `untilUs`, on its monotonic clock, is known here."""
-
-    tail: str
-    upto: timedelta
-    untilUs: int
-
-
-@dataclasses.dataclass(kw_only=True)
-class Handover:
-    """A snapshot on its way to a core that comes in."""
-
-    snapshot: Snapshot
-    asked_at: timedelta
-
-
 class ChainReplica:
     """One member's part of the chain.
 
@@ -88,12 +65,9 @@
       is answered, and a refusal given, only when all that it rests on is acknowledged under the present view by as
       many members as `copies` asks for;
     - `followed` is the view and the mark up to which the successor has acknowledged under it;
-    - `handed` holds the snapshots that are being handed to cores that come in, by disk, with when they were last asked;
     - `open_writes` counts the operators' changes that wait here for their answers;
     - `learned` says since when a configuration is known here to be acknowledged;
     - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`;
-    - `renewed_at` says when each session was last renewed here by its own daemon, `reached_at` when its newest renewal
-      reached this member, by whatever way; neither holds a session that `sessions` lacks once this was tidied.
     """
 
     def __init__(
@@ -127,20 +101,15 @@
         self.news = Bell()
         self.known_at = ZERO
         self.learned: dict[int, timedelta] = {}
-        self.needs_snapshot = True
-        self.handed: dict[str, Handover] = {}
         self.pushed_at = host.elapsed()
         self.disk_busy_since: timedelta | None = None
-        self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
-        self.renewed_at: dict[str, timedelta] = {}
-        self.reached_at: dict[str, timedelta] = {}
-        self.shared = Shared(tail="", upto=ZERO, untilUs=0)
-        self._note_learned()
+        self.sessions = Sessions(host=host, silence=ms(settings.peerSilenceMs))
+        self.note_learned()
 
     def _plan(self) -> State:
         """All that is synced; from here the retention's time goes on."""
         planned = self.state.copy()
-        for entry in self._after(mark=planned.mark):
+        for entry in self.after(mark=planned.mark):
             planned.fold(mark=entry.mark, change=entry.change)
         self.planned_at, self.planned_fromUs = self.host.elapsed(), planned.claims.newestUs
         return planned
@@ -253,7 +222,7 @@
                 accepted.append(write)
             try:
                 if entries:
-                    self._sync(entries=entries)
+                    self.sync(entries=entries)
             except OSError as error:
                 for write in answered:
                     why = {"why": "what it was judged by could not be stored"}
@@ -266,7 +235,7 @@
             self.waiting.extend([*accepted, *answered])
             self._answer_acknowledged()
 
-    def _sync(self, *, entries: list[Entry]) -> None:
+    def sync(self, *, entries: list[Entry]) -> None:
         self.disk_busy_since = self.host.elapsed()
         try:
             self.store.append(entries=entries)
@@ -282,7 +251,7 @@
         change = write.change
         nowUs = instant_us(self.gossip.clock.use())
         if change["kind"] == "config":
-            refused = self._judge_version(change=change, planned=planned)
+            refused = judge_version(change=change, planned=planned)
             if refused is not None:
                 return refused
             last = instant_us(planned.config.activate) if planned.config else 0
@@ -300,39 +269,6 @@
                 return Outcome(kind=Kind.BUSY, detail={"why": "claims are full"}, retryMs=60_000)
         return None
 
-    def _judge_version(self, *, change: dict[str, Any], planned: State) -> Outcome | None:
-        """A configuration builds on the current one. Where operators number them, the number must rise. One that was
-        taken before, sent again for want of a clear answer, is told so, whatever was taken since."""
-        digest = digest_of(tree=change["tree"])
-        change["digest"] = digest.hex()
-        versions = planned.versions
-        based_on, version = change["based_on"], change.get("version")
-        if version is None:
-            known = based_on is None or based_on >= versions.forgotten_upto
-            taken = versions.built_on(number=based_on) if known and based_on is not None else None
-        else:
-            known = version > versions.forgotten_upto
-            taken = versions.taken(number=version)
-        if taken is not None and taken.digest == digest:
-            return self._taken_before(number=taken.number, planned=planned)
-        current = planned.config.number if planned.config else 0
-        if based_on != current and not known:
-            return Outcome(kind=Kind.UNKNOWN, detail={"why": "too old: it is no longer known whether it was taken"})
-        if based_on != current:
-            return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark" if version is None else "version": current})
-        if version is not None and version <= current:
-            return Outcome(kind=Kind.INVALID, detail={"errors": [f"the version must be above {current}"]})
-        return None
-
-    def _taken_before(self, *, number: int, planned: State) -> Outcome:
-        detail: dict[str, Any] = {"mark": number}
-        for config in planned.configs:
-            if config.number == number:
-                detail = {"mark": config.mark, "activateUs": instant_us(config.activate)}
-                if config.version:
-                    detail["version"] = config.version
-        return Outcome(kind=Kind.ANSWERED, detail=detail)
-
     # Passing on.
 
     def _successor(self) -> str | None:
@@ -359,7 +295,7 @@
             return
         mark = self.state.mark
         for _ in range(1000):
-            entries = self._after(mark=mark)[:BATCH_MOST]
+            entries = self.after(mark=mark)[:BATCH_MOST]
             # Only a level member can bring its successor up.
             upto = self.synced if self.store.level else NEVER_LEVEL
             ask = Append(number=number, mark=mark, upto=upto, entries=entries)
@@ -378,7 +314,7 @@
                 self.host.sleep(wait=ms(50))
             return
 
-    def _after(self, *, mark: int) -> list[Entry]:
+    def after(self, *, mark: int) -> list[Entry]:
         base = self.store.base_mark
         return self.store.entries[max(mark - base, 0) :]
 
@@ -396,7 +332,7 @@
                 return Appended(state="refused", mark=self.synced)
             if fresh:
                 try:
-                    self._sync(entries=fresh)
+                    self.sync(entries=fresh)
                 except OSError:
                     return Appended(state="disk", mark=self.synced)
                 for entry in fresh:
@@ -424,11 +360,11 @@
     def _acknowledge(self, *, mark: int) -> None:
         """Folds what a tail has acknowledged and tells the waiting writers."""
         newest = self.state.news_mark
-        for entry in self._after(mark=self.state.mark):
+        for entry in self.after(mark=self.state.mark):
             if entry.mark > mark:
                 break
             self.state.fold(mark=entry.mark, change=entry.change)
-        self._note_learned()
+        self.note_learned()
         if self.state.news_mark != newest:
             self.news.ring()
         number = self.agreement.view.number
@@ -457,7 +393,7 @@
             detail["activateUs"] = write.change["activateUs"]
         return Outcome(kind=Kind.ANSWERED, detail=detail)
 
-    def _note_learned(self) -> None:
+    def note_learned(self) -> None:
         for config in self.state.configs:
             self.learned.setdefault(config.mark, self.host.elapsed())
         while len(self.learned) > 50:
@@ -525,30 +461,30 @@
         address = agreement.address(disk=tail)
         if address is None:
             return
-        if self.shared.tail != tail:
-            self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
+        if self.sessions.shared.tail != tail:
+            self.sessions.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
         sent = self.host.elapsed()
         ask = ConfirmAsk(
             number=agreement.view.number,
-            sessions=self.own_sessions(since=self.shared.upto, at=self.renewed_at),
-            sinceUs=self.shared.untilUs,
+            sessions=self.sessions.standing(since=self.sessions.shared.upto, at=self.sessions.renewed_at),
+            sinceUs=self.sessions.shared.untilUs,
         )
         try:
             reply = self.caller.call(address=address, ask=ask, wait=agreement.lease / 2)
         except OSError:
             # It may have been begun anew: then it holds nothing of what it was told.
-            self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
+            self.sessions.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
             return
-        self.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
+        self.sessions.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
         agreement.learn(view=reply.view)
         if reply.granted and agreement.view.number == ask.number and reply.mark <= self.synced:
             self._acknowledge(mark=reply.mark)
             self.known_at = max(self.known_at, sent)
-        self._hear_sessions(cards=reply.sessions)
+        self.sessions.hear(cards=reply.sessions)
 
     def on_confirm(self, *, ask: ConfirmAsk) -> ConfirmReply:
         agreement = self.agreement
-        self._hear_sessions(cards=ask.sessions)
+        self.sessions.hear(cards=ask.sessions)
         view = agreement.view
         granted = view is not None and view.number == ask.number and self.acting_tail()
         now = self.host.elapsed()
@@ -558,133 +494,6 @@
             granted=granted,
             mark=self.state.mark,
             view=view if view is not None and view.number > ask.number else None,
-            sessions=self.own_sessions(since=since, at=self.reached_at),
+            sessions=self.sessions.standing(since=since, at=self.sessions.reached_at),
             untilUs=to_us(now),
         )
-
-    # Sessions of data daemons.
-
-    def note_session(self, *, card: PeerCard) -> None:
-        now = self.host.elapsed()
-        self.sessions[card.name] = (card, now - ms(card.ageMs))
-        self.renewed_at[card.name] = self.reached_at[card.name] = now
-
-    def _hear_sessions(self, *, cards: list[PeerCard]) -> None:
-        for card in cards:
-            heard = self.host.elapsed() - ms(card.ageMs)
-            known = self.sessions.get(card.name)
-            if known is None or known[1] < heard:
-                self.sessions[card.name] = (card, heard)
-                self.reached_at[card.name] = self.host.elapsed()
-
-    def own_sessions(self, *, since: timedelta = ZERO, at: dict[str, timedelta] | None = None) -> list[PeerCard]:
-        """Every session that stands, wherever it was renewed, with its age; of those in `at` only, and noted there at
-        `since` or later, when it is given."""
-        now = self.host.elapsed()
-        limit = ms(self.settings.peerSilenceMs)
-        for name in [name for name, (_, heard) in self.sessions.items() if now - heard >= limit]:
-            del self.sessions[name], self.reached_at[name]
-            self.renewed_at.pop(name, None)
-        names = self.sessions if at is None else [name for name in self.sessions if at.get(name, -UNBOUNDED) >= since]
-        return [
-            dataclasses.replace(card, ageMs=(now - heard) // ms(1))
-            for card, heard in (self.sessions[name] for name in sorted(names))
-        ]
-
-    # Coming in, or back in, at the tail.
-
-    def run_joining(self) -> None:
-        while True:
-            self.host.sleep(wait=ms(300))
-            agreement = self.agreement
-            if agreement.view is None or agreement.ailing or agreement.leaving:
-                continue
-            if agreement.member():
-                self.needs_snapshot = True
-                continue
-            address = agreement.address(disk=agreement.view.chain[-1])
-            if address is None:
-                agreement.ask_for_view()
-                continue
-            try:
-                self._join_once(address=address)
-            except OSError:
-                agreement.ask_for_view()
-
-    def _join_once(self, *, address: str) -> None:
-        if self.needs_snapshot:
-            state = self._fetch_snapshot(address=address)
-            if state is not None:
-                self._become(state=state)
-            return
-        ask = JoinAsk(disk=self.agreement.me, mark=self.synced, fresh=False)
-        reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-        self.agreement.learn(view=reply.view)
-        with self.extending:
-            if self.agreement.member():
-                return
-            if reply.granted:
-                fresh = [entry for entry in reply.entries if entry.mark > self.synced]
-                if fresh:
-                    self._sync(entries=fresh)
-                    for entry in fresh:
-                        self.state.fold(mark=entry.mark, change=entry.change)
-                    self._note_learned()
-                self.planned = self.state.copy()
-            elif self.synced < reply.mark:
-                # The tail no longer has what is between.
-                self.needs_snapshot = True
-
-    def _become(self, *, state: State) -> None:
-        with self.extending:
-            if self.agreement.member():
-                return
-            self.store.entries = []
-            self.store.reset(state=state)
-            self.state.__dict__.update(state.__dict__)
-            self.planned = self.state.copy()
-            self._note_learned()
-            self.needs_snapshot = self.agreement.outrun = False
-            self.host.log(Note.JOINED, mark=state.mark)
-
-    def _fetch_snapshot(self, *, address: str) -> State | None:
-        """The tail's state, part by part."""
-        state = State(keep=self.store.keep)
-        number, parts = 0, 1
-        while number < parts:
-            ask = JoinAsk(disk=self.agreement.me, mark=state.mark, fresh=True, part=number)
-            reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-            self.agreement.learn(view=reply.view)
-            told = reply.snapshot
-            if told is None or told["part"] != number or (number and told["mark"] != state.mark):
-                return None
-            state.restore(fields=told)
-            number, parts = number + 1, told["parts"]
-        return state
-
-    def on_join(self, *, ask: JoinAsk) -> JoinReply:
-        agreement = self.agreement
-        view = agreement.view
-        if not self.acting_tail():
-            return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
-        if ask.fresh:
-            part = self._snapshot_part(ask=ask)
-            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=part)
-        if ask.mark < self.store.base_mark:
-            return JoinReply(granted=False, mark=self.state.mark, entries=[])
-        missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
-        if len(missing) <= BATCH_MOST:
-            agreement.note_candidate(disk=ask.disk)
-        return JoinReply(granted=True, mark=self.state.mark, entries=missing[:JOIN_CHUNK])
-
-    def _snapshot_part(self, *, ask: JoinAsk) -> dict[str, Any] | None:
-        """The part asked for, of the snapshot that this core began with; several may come in at once."""
-        now = self.host.elapsed()
-        self.handed = {d: h for d, h in self.handed.items() if now - h.asked_at < HANDOVER_LIMIT}
-        if ask.part == 0:
-            self.handed[ask.disk] = Handover(snapshot=self.state.snapshot(), asked_at=now)
-        handover = self.handed.get(ask.disk)
-        if handover is None or ask.part >= len(handover.snapshot):
-            return None
-        handover.asked_at = now
-        return handover.snapshot.part(number=ask.part)
--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -34,6 +34,7 @@
 from dockmux.accord.wire import Caller, Desk
 from dockmux.control.chain_replica import ChainReplica
 from dockmux.control.engine_scheduler import EngineScheduler
+from dockmux.control.joining import Joining
 from dockmux.control.replica_store import ReplicaStore
 from dockmux.control.view_agreement import ViewAgreement
 from dockmux.rumour.spread import Spread
@@ -89,6 +90,9 @@
                 gossip=self.gossip, caller=caller,
             )  # fmt: skip
             agreement, chain = self.agreement, self.chain
+            joining = self.joining = Joining(
+                host=host, store=self.store, agreement=agreement, chain=chain, caller=caller
+            )
             self.spread = Spread(host=host, settings=settings, gossip=self.gossip, crew=crew, follower=chain.state)
             scheduler = EngineScheduler(
                 host=host, agreement=agreement, links=links, chain=chain, table=self.spread.table
@@ -104,14 +108,14 @@
                     ViewNews: agreement.on_view_news,
                     Append: chain.on_append,
                     ConfirmAsk: chain.on_confirm,
-                    JoinAsk: chain.on_join,
+                    JoinAsk: joining.on_join,
                     WriteAsk: chain.on_write,
                     NewsAsk: self.on_news,
                 },
             )
             for task in (
                 desk.run, self.gossip.run_receiving, self.gossip.run_asking, agreement.run_grants,
-                agreement.run_mending, chain.run_head, chain.run_confirming, chain.run_joining, chain.run_upkeep,
+                agreement.run_mending, chain.run_head, chain.run_confirming, joining.run, chain.run_upkeep,
                 self.spread.run, self.run_duties, scheduler.run,
             ):  # fmt: skip
                 crew.keep(task=task)
@@ -154,7 +158,7 @@
 
     def _members(self) -> list[PeerCard]:
         cores = [card for card in self.peers.live() if card.role == "core"]
-        return [*self.chain.own_sessions(), *cores, self.peers.me()]
+        return [*self.chain.sessions.standing(), *cores, self.peers.me()]
 
     def _members_digest(self) -> str:
         """Worked out anew once in a while, for as many ask as there are members."""
@@ -164,7 +168,7 @@
         return self.digest
 
     def on_news(self, *, ask: NewsAsk) -> NewsReply:
-        self.chain.note_session(card=ask.sender)
+        self.chain.sessions.note(card=ask.sender)
         if self.chain.state.news_mark <= ask.mark:
             self.chain.news.wait(wait=min(ms(ask.holdMs), HOLD_LIMIT))
         return self._news(ask=ask)
@@ -327,7 +331,7 @@
                     "http": card.http,
                     "ageMs": card.ageMs,
                 }
-                for card in chain.own_sessions()
+                for card in chain.sessions.standing()
             ],
             "tasks_failed": self.crew.failed,
             "timeUs": instant_us(self.gossip.clock.now()),
--- a/dockmux/ferry/phase_balancer.py
+++ b/dockmux/ferry/phase_balancer.py
@@ -212,6 +212,6 @@
         message = Moving(sender=self.core.peers.me(), engine=engine.engine, phase=phase, left_ms=to_ms(left))
         send: Callable[..., None] = self.core.gossip.send
         for _ in range(2):
-            for card in {c.address: c for c in self.core.peers.live() + self.core.chain.own_sessions()}.values():
+            for card in {c.address: c for c in self.core.peers.live() + self.core.chain.sessions.standing()}.values():
                 if card.role == "edge":
                     send(address=card.address, message=message)
--- a/dockmux/gauge/fleet.py
+++ b/dockmux/gauge/fleet.py
@@ -262,7 +262,7 @@
             core = self.cores[name]
             parts = {
                 "peers": [core.peers.cards, core.peers.heard],
-                "sessions": [core.chain.sessions],
+                "sessions": [core.chain.sessions.sessions],
                 "configurations": [[c.tree for c in core.chain.state.configs], core.store.entries],
             }
         else:
--- a/tests/control/growth_test.py
+++ b/tests/control/growth_test.py
@@ -79,8 +79,8 @@
         wiped, tail = made.chain()[1], made.chain()[-1]
         made.wipe(name=wiped)
         made.start(name=wiped)
-        handing = made.daemons[tail].chain.handed
-        assert made.wait_until(what=lambda: bool(made.daemons[tail].chain.handed), limit=8 * SECOND), handing
+        handing = made.daemons[tail].joining.handed
+        assert made.wait_until(what=lambda: bool(made.daemons[tail].joining.handed), limit=8 * SECOND), handing
         made.kill(name=tail)
         assert _time_until_whole(made=made) < 8 * SECOND
         made.start(name=tail)
--- a/tests/gauge_test.py
+++ b/tests/gauge_test.py
@@ -126,7 +126,7 @@
 
         def seen() -> list[set[str]]:
             return [
-                {card.name for card in core.chain.own_sessions()}
+                {card.name for card in core.chain.sessions.standing()}
                 for name, core in made.cores.items()
                 if made.hosts[name].alive
             ]
