--- a/tools/hunting/aims.py
+++ b/tools/hunting/aims.py
@@ -43,6 +43,8 @@
     ("kill_all", None),
     ("kill_all", "timed"),
 )
+DEFAULT_STORM_S = 5.0
+DEFAULT_GAP_S = 1.0
 STALE_ORDERS = ("old_version", "same_version", "stale_match")
 
 
@@ -220,16 +222,25 @@
     drawn += others(draw=draw)
     drawn += own_troubles(draw=draw, site=site)
     kind, how = random.choice(CLOSINGS)
+    allowed = [_allowed(trouble, kinds=kinds) for trouble in drawn if trouble.at_s < length_s]
     return Day(
         name=f"{aim}-{seed}-{index}",
         seed=random.randrange(1, 2**28),
         length_s=length_s,
         closing=Closing(kind=kind, down_s=draw.span(low=0.5, high=2.0), how=how),
-        troubles=tuple(trouble for trouble in drawn if trouble.kind in kinds and trouble.at_s < length_s),
+        troubles=tuple(trouble for trouble in allowed if trouble.kind in kinds),
         traffic=site.traffic(load=load),
     )
 
 
+def _allowed(trouble: Trouble, *, kinds: frozenset[Kind]) -> Trouble:
+    """The trouble; where storms of changes are not known, as many pairs of racing changes in place of one."""
+    if trouble.kind is not Kind.CONFIG_STORM or trouble.kind in kinds:
+        return trouble
+    pairs = int((trouble.for_s or DEFAULT_STORM_S) / (trouble.gap_s or DEFAULT_GAP_S))
+    return replace(trouble, kind=Kind.CONFIG_RACE, for_s=None, count=max(1, pairs))
+
+
 def _core_cut(*, draw: Draw, at_s: float, for_s: float) -> Trouble:
     return Trouble(kind=Kind.CORE_CUT, at_s=at_s, count=1, for_s=for_s, how=draw.one_of(*CUT_HOWS))
 
