--- a/tests/aimed_days_test.py
+++ b/tests/aimed_days_test.py
@@ -136,6 +136,14 @@
     assert sum(storm["for_s"] / storm["gap_s"] for storm in storms) > 200
 
 
+@pytest.mark.parametrize("tolerated", [1, 2])
+def test_a_loss_takes_up_to_as_many_machines_as_may_be_lost(*, site: Path, tmp_path: Path, tolerated: int):
+    site.write_text(SITE.replace("machines = 1", f"machines = {tolerated}"))
+    files = _run(site=site, out=tmp_path / "out", options=("--seed", "2", "--aim", "cut", "--count", "4"))
+    entries = [entry for content in files.values() for entry in _entries(content=content)]
+    assert {entry["count"] for entry in entries if entry["kind"] == "core_cut"} == set(range(1, tolerated + 1))
+
+
 @pytest.mark.parametrize(("core_machines", "tolerated"), [(3, 1), (5, 1), (5, 2), (7, 1), (7, 2)])
 def test_a_variant_has_so_many_counted_machines_and_is_else_the_same(
     *, site: Path, tmp_path: Path, core_machines: int, tolerated: int
--- a/tools/hunting/aims.py
+++ b/tools/hunting/aims.py
@@ -68,6 +68,11 @@
 
     random: Random
     length_s: float
+    tolerated: int = 1
+
+    def machines(self) -> int:
+        """How many counted machines one loss takes: up to as many as may be lost at once."""
+        return 1 if self.tolerated <= 1 else self.random.randint(1, self.tolerated)
 
     def span(self, *, low: float, high: float) -> float:
         """A duration or strength between the two."""
@@ -86,10 +91,15 @@
 
 
 def core_loss(*, draw: Draw, at_s: float) -> Trouble:
-    """One counted machine lost for a while, or for good."""
+    """A counted machine, or more where more may be lost, lost for a while or for good."""
+    machines = draw.machines()
     losses = (
-        Trouble(kind=Kind.NODE_KILL, at_s=at_s, on=CORE, count=1, for_s=draw.span(low=1, high=5), how=_kill(draw)),
-        Trouble(kind=Kind.NODE_FREEZE, at_s=at_s, on=CORE, count=1, for_s=draw.span(low=2, high=8), how=_freeze(draw)),
+        Trouble(
+            kind=Kind.NODE_KILL, at_s=at_s, on=CORE, count=machines, for_s=draw.span(low=1, high=5), how=_kill(draw)
+        ),
+        Trouble(
+            kind=Kind.NODE_FREEZE, at_s=at_s, on=CORE, count=machines, for_s=draw.span(low=2, high=8), how=_freeze(draw)
+        ),
         Trouble(kind=Kind.REPLACE_CORE, at_s=at_s, strength=draw.span(low=0.5, high=3), how=_replacement(draw)),
         Trouble(kind=Kind.AFTER_ACK_WIPE, at_s=at_s, for_s=draw.span(low=1, high=4)),
         Trouble(kind=Kind.AFTER_ACK_KILL, at_s=at_s, for_s=draw.span(low=1, high=4), how=_after_ack(draw)),
@@ -216,7 +226,7 @@
 ) -> Day:
     """The day of this index. The same arguments give the same day, whatever else is drawn."""
     random = Random(f"{seed}:{aim}:{index}")
-    draw = Draw(random=random, length_s=length_s)
+    draw = Draw(random=random, length_s=length_s, tolerated=site.tolerated)
     aims = random.sample(SINGLE_AIMS, 2) if aim is Aim.ALL else [aim]
     drawn = [trouble for single in aims for trouble in AIMED[single](draw=draw)]
     drawn += others(draw=draw)
@@ -242,7 +252,8 @@
 
 
 def _core_cut(*, draw: Draw, at_s: float, for_s: float) -> Trouble:
-    return Trouble(kind=Kind.CORE_CUT, at_s=at_s, count=1, for_s=for_s, how=draw.one_of(*CUT_HOWS))
+    machines = draw.machines()
+    return Trouble(kind=Kind.CORE_CUT, at_s=at_s, count=machines, for_s=for_s, how=draw.one_of(*CUT_HOWS))
 
 
 def _core_herd(*, draw: Draw) -> Trouble:
--- a/tools/hunting/site_file.py
+++ b/tools/hunting/site_file.py
@@ -27,6 +27,11 @@
         known = set(Kind)
         return tuple(entry for entry in self.content.get("troubles", []) if entry["kind"] in known)
 
+    @property
+    def tolerated(self) -> int:
+        """How many counted machines may be lost at once."""
+        return self.content.get("tolerate", {}).get("machines", 1)
+
     def traffic(self, *, load: float) -> tuple[dict[str, Any], ...]:
         """The site's traffic at a share of its rate; empty where it stays as it is."""
         if load == 1.0:
