--- a/dockmux/accord/catalogue.py
+++ b/dockmux/accord/catalogue.py
@@ -57,6 +57,7 @@
         "{file} ended in {lostBytes} bytes of an unfinished record; cut off",
         "Nothing; they had not been acknowledged.",
     )
+    LEAVING = (3011, "info", "told to stop: leaving the chain by agreement, at mark {mark}", "Nothing.")
     JOINED = (3009, "info", "caught up from the tail at mark {mark}", "Nothing.")
     SUSPECTED = (
         3010,
--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -128,7 +128,9 @@
 
     def drain(self) -> int:
         """Has this member leave the chain by agreement; counts what its stop still has to wait for."""
-        self.agreement.leaving = True
+        if not self.agreement.leaving:
+            self.agreement.leaving = True
+            self.host.log(Note.LEAVING, mark=self.chain.synced)
         return self.agreement.must_stay() + self.chain.open_writes
 
     # Duties that go with the head, under its permit.
@@ -316,10 +318,12 @@
             "voters": [names.get(disk, disk) for disk in view.voters] if view else [],
             "permit": agreement.holds_lease(),
             "ailing": agreement.ailing,
+            "leaving": agreement.leaving,
             "mark": chain.state.mark,
             "synced": chain.synced,
             "ageMs": min(to_ms(chain.age()), 86_400_000),
             "config": config.mark if config else 0,
+            "versions": len(chain.state.versions),
             "config_active": bool(config and config.activate <= self.gossip.clock.now()),
             "engines": len(chain.state.engines),
             "claims": len(chain.state.claims),
