Found a control plane whatever the order of starts, also with more cores than found it

Besides, a core that was killed before it had granted anything was told at its restart that this was no first start, and never founded. Ruled out: the links (all had heard of each other). Now founding waits for every seed, the first seed alone proposes, and a disk remembers that it was there at the first start.

--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -69,7 +69,7 @@
     def running(self) -> Iterator["Core"]:
         host, settings = self.host, self.settings
         keep = timedelta(hours=settings.claimKeepHours)
-        self.store = ReplicaStore(host=host, folder=host.folder, keep=keep)
+        self.store = ReplicaStore(host=host, folder=host.folder, keep=keep, may_found=settings.may_found)
         self.store.open()
         self.peers.card = dataclasses.replace(self.peers.card, disk=self.store.disk)
         with (
--- a/dockmux/control/replica_store.py
+++ b/dockmux/control/replica_store.py
@@ -19,13 +19,16 @@
     - `disk` names this disk; another disk, or an emptied one, has another name, for a vote or a copy that
       was lost with a disk must not be counted again;
     - `level` is true only while this disk holds every entry that was acknowledged before its view began;
+    - `may_found` says that this disk was empty at the first start of the whole system: it may take part in founding,
+      also after a restart;
     - `promised`, `accepted` and `founding` are synced before anyone is told of them;
     - `entries` are the synced ones after `base_mark`, without a gap; `opened` is the state at that mark when the
       daemon started.
     """
 
-    def __init__(self, *, host: Host, folder: Folder, keep: timedelta) -> None:
+    def __init__(self, *, host: Host, folder: Folder, keep: timedelta, may_found: bool = False) -> None:
         self.host = host
+        self.may_found = may_found
         self.votes = RecordLog(host=host, folder=folder, name="votes")
         self.chain = RecordLog(host=host, folder=folder, name="chain")
         self.keep = keep
@@ -45,7 +48,7 @@
             self.disk = f"{self.host.random.getrandbits(64):016x}"
             self.host.log(Note.DISK_FRESH, disk=self.disk)
             self.chain.rewrite(records=({"snapshot": part} for part in self.opened.snapshot().all_parts()))
-            self.votes.rewrite(records=[{"disk": self.disk}])
+            self.votes.rewrite(records=[{"disk": self.disk, "may_found": self.may_found}])
             return
         for record in votes:
             self._recall(record=record)
@@ -66,6 +69,8 @@
     def _recall(self, *, record: dict[str, Any]) -> None:
         if "disk" in record:
             self.disk = record["disk"]
+        if "may_found" in record:
+            self.may_found = record["may_found"]
         if "view" in record:
             self.view = codec.from_fields(kind=View, fields=record["view"])
         if "level" in record:
@@ -90,7 +95,12 @@
                 self.host.log(Note.DISK_FAILED, error=error)
 
     def _rewrite_votes(self) -> None:
-        record: dict[str, Any] = {"disk": self.disk, "promised": self.promised, "level": self.level}
+        record: dict[str, Any] = {
+            "disk": self.disk,
+            "may_found": self.may_found,
+            "promised": self.promised,
+            "level": self.level,
+        }
         if self.accepted is not None:
             record["accepted"] = self.accepted
         for key, view in (("view", self.view), ("founding", self.founding)):
--- a/dockmux/control/view_agreement.py
+++ b/dockmux/control/view_agreement.py
@@ -1,5 +1,6 @@
 """The agreed view: founding, one agreement per view number, and the permits that a majority grants."""
 
+import dataclasses
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -40,6 +41,15 @@
     return view.chain[0] in level and len(level.intersection(view.chain)) >= copies
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Founders:
+    """The disks that found a control plane. Invariant: `proposer` is the first seed's, if any seed is a core."""
+
+    disks: list[str]
+    seeds: frozenset[str]
+    proposer: str
+
+
 class ViewAgreement:
     """One core's part in agreeing on the view.
 
@@ -384,22 +394,28 @@
     def run_found(self) -> None:
         while self.view is None:
             self.host.sleep(wait=ms(300) + ms(self.host.random.randrange(200)))
-            found = self._known_founders()
+            founders = self._founders()
             if self.store.founding is not None:
                 self._found(view=self.store.founding)
-            elif self.settings.may_found and len(found) == self.settings.cores and found[0] == self.me:
-                self._found(view=View(number=1, chain=found, voters=found))
-            elif not self.settings.may_found or found[0] != self.me:
+            elif self.store.may_found and founders and founders.proposer == self.me:
+                self._found(view=View(number=1, chain=founders.disks, voters=founders.disks))
+            elif not self.store.may_found or not founders or founders.proposer != self.me:
                 self.ask_for_view()
 
-    def _known_founders(self) -> list[str]:
-        """As many as are to found it; where there are more, those behind the seeds first: any two such sets share
-        the seeds, and founding is unanimous, so that no two can both come about."""
-        known = {card.disk: card.address for card in self.cores() if card.disk}
-        known[self.me] = self.settings.address
-        seeds = set(self.settings.seeds)
-        chosen = sorted(known, key=lambda disk: (known[disk] not in seeds, disk))
-        return sorted(chosen[: self.settings.cores])
+    def _founders(self) -> Founders | None:
+        """As many as are to found it, seeds first; None while too few, or not every seed, have been heard. All cores
+        have the same seeds, so all agree on the one that proposes, whoever else they have heard of by then."""
+        heard = {card.address: card for card in self.peers.standing()}
+        if any(seed not in heard and seed != self.settings.address for seed in self.settings.seeds):
+            return None
+        disks = {card.address: card.disk for card in heard.values() if card.role == "core" and card.disk}
+        disks[self.settings.address] = self.me
+        seeds = sorted(disk for address, disk in disks.items() if address in self.settings.seeds)
+        others = sorted(disk for address, disk in disks.items() if address not in self.settings.seeds)
+        chosen = [*seeds, *others][: self.settings.cores]
+        if len(chosen) < self.settings.cores:
+            return None
+        return Founders(disks=sorted(chosen), seeds=frozenset(seeds), proposer=chosen[0])
 
     def _found(self, *, view: View) -> None:
         ask = FoundAsk(view=view)
@@ -420,12 +436,20 @@
                 return VoteReply(granted=False, disk=self.me, view=self.view)
             if self.store.founding is not None:
                 return VoteReply(granted=self.store.founding == ask.view, disk=self.me)
-            if not self.settings.may_found:
+            if not self.store.may_found:
                 return VoteReply(granted=False, disk=self.me)
-            if ask.view.voters != self._known_founders() or len(ask.view.voters) != self.settings.cores:
+            if not self._may_be_founded_by(disks=ask.view.voters):
                 return VoteReply(granted=False, disk=self.me)
             return VoteReply(granted=self._sync_vote(founding=ask.view), disk=self.me)
 
+    def _may_be_founded_by(self, *, disks: list[str]) -> bool:
+        """Whether the one that proposes could have chosen these: it may have heard of other cores than this one has,
+        but of the same seeds."""
+        founders = self._founders()
+        if founders is None or self.me not in disks or len(disks) != self.settings.cores:
+            return False
+        return founders.disks == disks or (bool(founders.seeds) and founders.seeds <= set(disks))
+
     def ask_for_view(self) -> None:
         """Asks every core for a newer view: news of one are told once, and may be lost."""
         for card in self.cores():
