--- a/dockmux/control/chain_replica.py
+++ b/dockmux/control/chain_replica.py
@@ -12,22 +12,21 @@
 from dockmux.accord.kinds import Kind, Outcome
 from dockmux.accord.record_log import Unsure
 from dockmux.accord.settings_type import Settings
-from dockmux.accord.span import UNBOUNDED, ZERO, instant_us, ms, to_us, us
+from dockmux.accord.span import ZERO, instant_us, ms, to_us, us
 from dockmux.accord.types import (
     Append,
     Appended,
     ConfirmAsk,
     ConfirmReply,
     Entry,
-    JoinAsk,
-    JoinReply,
-    PeerCard,
     WriteAsk,
     WriteReply,
 )  # fmt: skip
 from dockmux.accord.wire import Caller
 from dockmux.control.replica_store import ReplicaStore
-from dockmux.control.state import Snapshot, State
+from dockmux.control.sessions import Sessions, Shared
+from dockmux.control.state import State
+from dockmux.control.version_check import judge_version
 from dockmux.control.view_agreement import ViewAgreement
 from dockmux.tempo.gossip import Gossip
 
@@ -37,26 +36,19 @@
 PULSE = timedelta(milliseconds=250)
 STALL_LIMIT = timedelta(seconds=3)
 BATCH_MOST = 256
-JOIN_CHUNK = 2000
+# A mark that no member reaches.
+NEVER_LEVEL = 1 << 62
 
 
 @dataclasses.dataclass(kw_only=True)
 class Write:
-    """A change on its way. Invariant: `done` is sent exactly once, with an Outcome."""
+    """A change on its way. Invariants: `done` is sent exactly once, with an Outcome; once judged, `mark` is the last
+    entry that its answer rests on, and `verdict` that answer if the change adds no entry of its own."""
 
     change: dict[str, Any]
     done: Event = dataclasses.field(default_factory=Event)
     mark: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Shared:
-    """What this member and a tail have told each other of sessions. Invariant: all that was renewed here before `upto`
-    is known there, and all that had reached it before `untilUs`, on its monotonic clock, is known here."""
-
-    tail: str
-    upto: timedelta
-    untilUs: int
+    verdict: Outcome | None = None
 
 
 class ChainReplica:
@@ -69,12 +61,13 @@
       `planned_at` on its own monotonic clock the claims' time stood at `planned_fromUs`;
     - `tail_view` is the view under which this member, as its tail, has folded all that it holds: each such
       entry is held by every member, and the tail before may have acknowledged it;
+    - `acknowledged` is the view and the last mark of which a level tail has said under it that it holds it; a change
+      is answered, and a refusal given, only when all that it rests on is acknowledged under the present view by as
+      many members as `copies` asks for;
     - `followed` is the view and the mark up to which the successor has acknowledged under it;
-    - `handed` is the snapshot that is being handed to a core that comes in, one at a time;
+    - `open_writes` counts the operators' changes that wait here for their answers;
     - `learned` says since when a configuration is known here to be acknowledged;
     - `known_at` is a monotonic time at which all that the tail had acknowledged was in `state`;
-    - `renewed_at` says when each session was last renewed here by its own daemon, `reached_at` when its newest renewal
-      reached this member, by whatever way; neither holds a session that `sessions` lacks once this was tidied.
     """
 
     def __init__(
@@ -99,6 +92,8 @@
         self.planned_view = 0
         self.tail_view = 0
         self.followed = (0, 0)
+        self.acknowledged = (0, 0)
+        self.open_writes = 0
         self.extending = agreement.extending
         self.pending: list[Write] = []
         self.waiting: list[Write] = []
@@ -106,20 +101,15 @@
         self.news = Bell()
         self.known_at = ZERO
         self.learned: dict[int, timedelta] = {}
-        self.needs_snapshot = True
-        self.handed: dict[str, Snapshot] = {}
         self.pushed_at = host.elapsed()
         self.disk_busy_since: timedelta | None = None
-        self.sessions: dict[str, tuple[PeerCard, timedelta]] = {}
-        self.renewed_at: dict[str, timedelta] = {}
-        self.reached_at: dict[str, timedelta] = {}
-        self.shared = Shared(tail="", upto=ZERO, untilUs=0)
-        self._note_learned()
+        self.sessions = Sessions(host=host, silence=ms(settings.peerSilenceMs))
+        self.note_learned()
 
     def _plan(self) -> State:
         """All that is synced; from here the retention's time goes on."""
         planned = self.state.copy()
-        for entry in self._after(mark=planned.mark):
+        for entry in self.after(mark=planned.mark):
             planned.fold(mark=entry.mark, change=entry.change)
         self.planned_at, self.planned_fromUs = self.host.elapsed(), planned.claims.newestUs
         return planned
@@ -132,6 +122,13 @@
 
     def write(self, *, change: dict[str, Any], relayed: bool = False) -> Outcome:
         """Carries a change to the head and waits for the tail's acknowledgement, but not for ever."""
+        self.open_writes += 1
+        try:
+            return self._write(change=change, relayed=relayed)
+        finally:
+            self.open_writes -= 1
+
+    def _write(self, *, change: dict[str, Any], relayed: bool) -> Outcome:
         view = self.agreement.view
         if view is None:
             return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "no view yet"})
@@ -210,30 +207,35 @@
                 return
             taken, self.pending = self.pending[:BATCH_MOST], self.pending[BATCH_MOST:]
             accepted: list[Write] = []
+            answered: list[Write] = []
             planned = self.planned.copy()
             entries: list[Entry] = []
             for write in taken:
-                outcome = self._judge(write=write, planned=planned)
-                if outcome is not None:
-                    write.done.send(outcome)
+                write.verdict = self._judge(write=write, planned=planned)
+                if write.verdict is not None:
+                    write.mark = planned.mark
+                    answered.append(write)
                     continue
                 write.mark = planned.mark + 1
                 planned.fold(mark=write.mark, change=write.change)
                 entries.append(Entry(mark=write.mark, change=write.change))
                 accepted.append(write)
-            if not entries:
-                return
             try:
-                self._sync(entries=entries)
+                if entries:
+                    self.sync(entries=entries)
             except OSError as error:
+                for write in answered:
+                    why = {"why": "what it was judged by could not be stored"}
+                    write.done.send(Outcome(kind=Kind.NO_MAJORITY, detail=why))
                 kind = Kind.UNKNOWN if isinstance(error, Unsure) else Kind.DISK_FULL
                 for write in accepted:
                     write.done.send(Outcome(kind=kind, detail={"why": str(error)}))
                 raise
             self.planned = planned
-            self.waiting.extend(accepted)
+            self.waiting.extend([*accepted, *answered])
+            self._answer_acknowledged()
 
-    def _sync(self, *, entries: list[Entry]) -> None:
+    def sync(self, *, entries: list[Entry]) -> None:
         self.disk_busy_since = self.host.elapsed()
         try:
             self.store.append(entries=entries)
@@ -249,7 +251,7 @@
         change = write.change
         nowUs = instant_us(self.gossip.clock.use())
         if change["kind"] == "config":
-            refused = self._judge_version(change=change, planned=planned)
+            refused = judge_version(change=change, planned=planned)
             if refused is not None:
                 return refused
             last = instant_us(planned.config.activate) if planned.config else 0
@@ -267,26 +269,6 @@
                 return Outcome(kind=Kind.BUSY, detail={"why": "claims are full"}, retryMs=60_000)
         return None
 
-    def _judge_version(self, *, change: dict[str, Any], planned: State) -> Outcome | None:
-        """A configuration builds on the current one. Where operators number them, the number must rise, and one that
-        was taken before, resent for want of a clear answer, is told so - once it is acknowledged."""
-        if "version" not in change:
-            current = planned.config.mark if planned.config else 0
-            stale = change["based_on"] != current
-            return Outcome(kind=Kind.MARK_OUTDATED, detail={"mark": current}) if stale else None
-        version = change["version"]
-        for config in planned.configs:
-            if config.version == version and config.tree == change["tree"]:
-                if config.mark <= self.state.mark:
-                    return Outcome(kind=Kind.ANSWERED, detail={"mark": config.mark, "version": version})
-                return Outcome(kind=Kind.NO_MAJORITY, detail={"why": "taken up, not acknowledged yet"})
-        current = planned.config.version if planned.config else 0
-        if change["based_on"] != current:
-            return Outcome(kind=Kind.MARK_OUTDATED, detail={"version": current})
-        if version <= current:
-            return Outcome(kind=Kind.INVALID, detail={"errors": [f"the version must be above {current}"]})
-        return None
-
     # Passing on.
 
     def _successor(self) -> str | None:
@@ -302,7 +284,8 @@
         number = self.agreement.view.number
         successor = self._successor()
         if successor is None:
-            self.acting_tail()
+            if self.acting_tail():
+                self._acknowledge(mark=self.synced)
             self.pushed_at = self.host.elapsed()
             self.host.sleep(wait=ms(50))
             return
@@ -312,8 +295,10 @@
             return
         mark = self.state.mark
         for _ in range(1000):
-            entries = self._after(mark=mark)[:BATCH_MOST]
-            ask = Append(number=number, mark=mark, upto=self.synced, entries=entries)
+            entries = self.after(mark=mark)[:BATCH_MOST]
+            # Only a level member can bring its successor up.
+            upto = self.synced if self.store.level else NEVER_LEVEL
+            ask = Append(number=number, mark=mark, upto=upto, entries=entries)
             reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
             if self.agreement.view.number != number:
                 return
@@ -329,7 +314,7 @@
                 self.host.sleep(wait=ms(50))
             return
 
-    def _after(self, *, mark: int) -> list[Entry]:
+    def after(self, *, mark: int) -> list[Entry]:
         base = self.store.base_mark
         return self.store.entries[max(mark - base, 0) :]
 
@@ -347,7 +332,7 @@
                 return Appended(state="refused", mark=self.synced)
             if fresh:
                 try:
-                    self._sync(entries=fresh)
+                    self.sync(entries=fresh)
                 except OSError:
                     return Appended(state="disk", mark=self.synced)
                 for entry in fresh:
@@ -375,26 +360,40 @@
     def _acknowledge(self, *, mark: int) -> None:
         """Folds what a tail has acknowledged and tells the waiting writers."""
         newest = self.state.news_mark
-        for entry in self._after(mark=self.state.mark):
+        for entry in self.after(mark=self.state.mark):
             if entry.mark > mark:
                 break
             self.state.fold(mark=entry.mark, change=entry.change)
-        self._note_learned()
+        self.note_learned()
         if self.state.news_mark != newest:
             self.news.ring()
-        done = [write for write in self.waiting if write.mark <= self.state.mark]
-        self.waiting = [write for write in self.waiting if write.mark > self.state.mark]
+        number = self.agreement.view.number
+        before = self.acknowledged[1] if self.acknowledged[0] == number else 0
+        self.acknowledged = (number, max(mark, before))
+        self._answer_acknowledged()
+
+    def _answer_acknowledged(self) -> None:
+        """Answers the changes whose answers rest on nothing that is not acknowledged under the present view."""
+        view = self.agreement.view
+        number, mark = self.acknowledged
+        if number != view.number:
+            return
+        done = [write for write in self.waiting if write.mark <= mark]
+        self.waiting = [write for write in self.waiting if write.mark > mark]
         for write in done:
-            if len(self.agreement.view.chain) < 2:
-                why = {"why": "one copy only"}
+            if len(view.chain) < self.settings.copies:
+                why = {"why": f"{len(view.chain)} copies only: {self.settings.copies} must hold a change"}
                 write.done.send(Outcome(kind=Kind.UNKNOWN, detail=why))
-                continue
-            detail = {"mark": write.mark}
-            if "activateUs" in write.change:
-                detail["activateUs"] = write.change["activateUs"]
-            write.done.send(Outcome(kind=Kind.ANSWERED, detail=detail))
+            else:
+                write.done.send(write.verdict or self._taken(write=write))
+
+    def _taken(self, *, write: Write) -> Outcome:
+        detail = {"mark": write.mark}
+        if "activateUs" in write.change:
+            detail["activateUs"] = write.change["activateUs"]
+        return Outcome(kind=Kind.ANSWERED, detail=detail)
 
-    def _note_learned(self) -> None:
+    def note_learned(self) -> None:
         for config in self.state.configs:
             self.learned.setdefault(config.mark, self.host.elapsed())
         while len(self.learned) > 50:
@@ -441,37 +440,51 @@
     def run_confirming(self) -> None:
         while True:
             self.host.sleep(wait=self.agreement.lease / 8)
-            agreement = self.agreement
-            if not agreement.member() or agreement.is_tail():
-                continue
-            tail = agreement.view.chain[-1]
-            address = agreement.address(disk=tail)
-            if address is None:
-                continue
-            if self.shared.tail != tail:
-                self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
-            sent = self.host.elapsed()
-            ask = ConfirmAsk(
-                number=agreement.view.number,
-                sessions=self.own_sessions(since=self.shared.upto, at=self.renewed_at),
-                sinceUs=self.shared.untilUs,
-            )
-            try:
-                reply = self.caller.call(address=address, ask=ask, wait=agreement.lease / 2)
-            except OSError:
-                # It may have been begun anew: then it holds nothing of what it was told.
-                self.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
-                continue
-            self.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
-            agreement.learn(view=reply.view)
-            if reply.granted and agreement.view.number == ask.number and reply.mark <= self.synced:
-                self._acknowledge(mark=reply.mark)
-                self.known_at = max(self.known_at, sent)
-            self._hear_sessions(cards=reply.sessions)
+            if self.agreement.member() and not self.agreement.is_tail():
+                self._confirm_once()
+
+    def confirm(self) -> bool:
+        """Whether all that was acknowledged before this call is in the state now: the tail says so under its lease,
+        after the call began. Any member may ask; it takes one exchange with the tail, or none at the tail."""
+        if self.acting_tail():
+            return True
+        if not self.agreement.member() or self.agreement.is_tail():
+            return False
+        began = self.host.elapsed()
+        self._confirm_once()
+        return self.known_at >= began
+
+    def _confirm_once(self) -> None:
+        """Asks the tail what is acknowledged; control daemons tell each other of sessions with it."""
+        agreement = self.agreement
+        tail = agreement.view.chain[-1]
+        address = agreement.address(disk=tail)
+        if address is None:
+            return
+        if self.sessions.shared.tail != tail:
+            self.sessions.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
+        sent = self.host.elapsed()
+        ask = ConfirmAsk(
+            number=agreement.view.number,
+            sessions=self.sessions.standing(since=self.sessions.shared.upto, at=self.sessions.renewed_at),
+            sinceUs=self.sessions.shared.untilUs,
+        )
+        try:
+            reply = self.caller.call(address=address, ask=ask, wait=agreement.lease / 2)
+        except OSError:
+            # It may have been begun anew: then it holds nothing of what it was told.
+            self.sessions.shared = Shared(tail=tail, upto=ZERO, untilUs=0)
+            return
+        self.sessions.shared = Shared(tail=tail, upto=sent, untilUs=reply.untilUs)
+        agreement.learn(view=reply.view)
+        if reply.granted and agreement.view.number == ask.number and reply.mark <= self.synced:
+            self._acknowledge(mark=reply.mark)
+            self.known_at = max(self.known_at, sent)
+        self.sessions.hear(cards=reply.sessions)
 
     def on_confirm(self, *, ask: ConfirmAsk) -> ConfirmReply:
         agreement = self.agreement
-        self._hear_sessions(cards=ask.sessions)
+        self.sessions.hear(cards=ask.sessions)
         view = agreement.view
         granted = view is not None and view.number == ask.number and self.acting_tail()
         now = self.host.elapsed()
@@ -481,123 +494,6 @@
             granted=granted,
             mark=self.state.mark,
             view=view if view is not None and view.number > ask.number else None,
-            sessions=self.own_sessions(since=since, at=self.reached_at),
+            sessions=self.sessions.standing(since=since, at=self.sessions.reached_at),
             untilUs=to_us(now),
         )
-
-    # Sessions of data daemons.
-
-    def note_session(self, *, card: PeerCard) -> None:
-        now = self.host.elapsed()
-        self.sessions[card.name] = (card, now - ms(card.ageMs))
-        self.renewed_at[card.name] = self.reached_at[card.name] = now
-
-    def _hear_sessions(self, *, cards: list[PeerCard]) -> None:
-        for card in cards:
-            heard = self.host.elapsed() - ms(card.ageMs)
-            known = self.sessions.get(card.name)
-            if known is None or known[1] < heard:
-                self.sessions[card.name] = (card, heard)
-                self.reached_at[card.name] = self.host.elapsed()
-
-    def own_sessions(self, *, since: timedelta = ZERO, at: dict[str, timedelta] | None = None) -> list[PeerCard]:
-        """Every session that stands, wherever it was renewed, with its age; of those in `at` only, and noted there at
-        `since` or later, when it is given."""
-        now = self.host.elapsed()
-        limit = ms(self.settings.peerSilenceMs)
-        for name in [name for name, (_, heard) in self.sessions.items() if now - heard >= limit]:
-            del self.sessions[name], self.reached_at[name]
-            self.renewed_at.pop(name, None)
-        names = self.sessions if at is None else [name for name in self.sessions if at.get(name, -UNBOUNDED) >= since]
-        return [
-            dataclasses.replace(card, ageMs=(now - heard) // ms(1))
-            for card, heard in (self.sessions[name] for name in sorted(names))
-        ]
-
-    # Coming in, or back in, at the tail.
-
-    def run_joining(self) -> None:
-        while True:
-            self.host.sleep(wait=ms(300))
-            agreement = self.agreement
-            if agreement.view is None or agreement.ailing:
-                continue
-            if agreement.member():
-                self.needs_snapshot = True
-                continue
-            address = agreement.address(disk=agreement.view.chain[-1])
-            if address is None:
-                continue
-            try:
-                self._join_once(address=address)
-            except OSError:
-                continue
-
-    def _join_once(self, *, address: str) -> None:
-        if self.needs_snapshot:
-            state = self._fetch_snapshot(address=address)
-            if state is not None:
-                self._become(state=state)
-            return
-        ask = JoinAsk(disk=self.agreement.me, mark=self.synced, fresh=False)
-        reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-        self.agreement.learn(view=reply.view)
-        with self.extending:
-            if self.agreement.member():
-                return
-            if reply.granted:
-                fresh = [entry for entry in reply.entries if entry.mark > self.synced]
-                if fresh:
-                    self._sync(entries=fresh)
-                    for entry in fresh:
-                        self.state.fold(mark=entry.mark, change=entry.change)
-                    self._note_learned()
-                self.planned = self.state.copy()
-            elif self.synced < reply.mark:
-                # The tail no longer has what is between.
-                self.needs_snapshot = True
-
-    def _become(self, *, state: State) -> None:
-        with self.extending:
-            if self.agreement.member():
-                return
-            self.store.entries = []
-            self.store.reset(state=state)
-            self.state.__dict__.update(state.__dict__)
-            self.planned = self.state.copy()
-            self._note_learned()
-            self.needs_snapshot = self.agreement.outrun = False
-            self.host.log(Note.JOINED, mark=state.mark)
-
-    def _fetch_snapshot(self, *, address: str) -> State | None:
-        """The tail's state, part by part."""
-        state = State(keep=self.store.keep)
-        number, parts = 0, 1
-        while number < parts:
-            ask = JoinAsk(disk=self.agreement.me, mark=state.mark, fresh=True, part=number)
-            reply = self.caller.call(address=address, ask=ask, wait=PUSH_LIMIT)
-            self.agreement.learn(view=reply.view)
-            told = reply.snapshot
-            if told is None or told["part"] != number or (number and told["mark"] != state.mark):
-                return None
-            state.restore(fields=told)
-            number, parts = number + 1, told["parts"]
-        return state
-
-    def on_join(self, *, ask: JoinAsk) -> JoinReply:
-        agreement = self.agreement
-        view = agreement.view
-        if not self.acting_tail():
-            return JoinReply(granted=False, mark=self.state.mark, entries=[], view=view)
-        if ask.fresh:
-            if ask.part == 0:
-                self.handed = {ask.disk: self.state.snapshot()}
-            snapshot = self.handed.get(ask.disk)
-            told = snapshot.part(number=ask.part) if snapshot is not None and ask.part < len(snapshot.keys) else None
-            return JoinReply(granted=True, mark=self.state.mark, entries=[], snapshot=told)
-        if ask.mark < self.store.base_mark:
-            return JoinReply(granted=False, mark=self.state.mark, entries=[])
-        missing = [entry for entry in self._after(mark=ask.mark) if entry.mark <= self.state.mark]
-        if len(missing) <= BATCH_MOST:
-            agreement.note_candidate(disk=ask.disk)
-        return JoinReply(granted=True, mark=self.state.mark, entries=missing[:JOIN_CHUNK])
--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -34,6 +34,7 @@
 from dockmux.accord.wire import Caller, Desk
 from dockmux.control.chain_replica import ChainReplica
 from dockmux.control.engine_scheduler import EngineScheduler
+from dockmux.control.joining import Joining
 from dockmux.control.replica_store import ReplicaStore
 from dockmux.control.view_agreement import ViewAgreement
 from dockmux.rumour.spread import Spread
@@ -89,6 +90,9 @@
                 gossip=self.gossip, caller=caller,
             )  # fmt: skip
             agreement, chain = self.agreement, self.chain
+            joining = self.joining = Joining(
+                host=host, store=self.store, agreement=agreement, chain=chain, caller=caller
+            )
             self.spread = Spread(host=host, settings=settings, gossip=self.gossip, crew=crew, follower=chain.state)
             scheduler = EngineScheduler(
                 host=host, agreement=agreement, links=links, chain=chain, table=self.spread.table
@@ -104,14 +108,14 @@
                     ViewNews: agreement.on_view_news,
                     Append: chain.on_append,
                     ConfirmAsk: chain.on_confirm,
-                    JoinAsk: chain.on_join,
+                    JoinAsk: joining.on_join,
                     WriteAsk: chain.on_write,
                     NewsAsk: self.on_news,
                 },
             )
             for task in (
                 desk.run, self.gossip.run_receiving, self.gossip.run_asking, agreement.run_grants,
-                agreement.run_mending, chain.run_head, chain.run_confirming, chain.run_joining, chain.run_upkeep,
+                agreement.run_mending, chain.run_head, chain.run_confirming, joining.run, chain.run_upkeep,
                 self.spread.run, self.run_duties, scheduler.run,
             ):  # fmt: skip
                 crew.keep(task=task)
@@ -123,8 +127,11 @@
             yield self
 
     def drain(self) -> int:
-        """A core holds no requests: it may stop at once."""
-        return 0
+        """Has this member leave the chain by agreement; counts what its stop still has to wait for."""
+        if not self.agreement.leaving:
+            self.agreement.leaving = True
+            self.host.log(Note.LEAVING, mark=self.chain.synced)
+        return self.agreement.must_stay() + self.chain.open_writes
 
     # Duties that go with the head, under its permit.
 
@@ -153,7 +160,7 @@
 
     def _members(self) -> list[PeerCard]:
         cores = [card for card in self.peers.live() if card.role == "core"]
-        return [*self.chain.own_sessions(), *cores, self.peers.me()]
+        return [*self.chain.sessions.standing(), *cores, self.peers.me()]
 
     def _members_digest(self) -> str:
         """Worked out anew once in a while, for as many ask as there are members."""
@@ -163,7 +170,7 @@
         return self.digest
 
     def on_news(self, *, ask: NewsAsk) -> NewsReply:
-        self.chain.note_session(card=ask.sender)
+        self.chain.sessions.note(card=ask.sender)
         if self.chain.state.news_mark <= ask.mark:
             self.chain.news.wait(wait=min(ms(ask.holdMs), HOLD_LIMIT))
         return self._news(ask=ask)
@@ -215,9 +222,8 @@
             return visit.reply(status=200, fields=self.gossip.report())
         if path == "/status":
             return visit.reply(status=200, fields=self.status())
-        age = self.chain.age()
-        if age >= self.agreement.lease:
-            why = {"why": "no tail under permit"}
+        if not self.chain.confirm():
+            why = {"why": "the tail did not confirm under its permit"}
             return visit.conclude(outcome=Outcome(kind=Kind.NO_MAJORITY, detail=why))
         return self._read(visit=visit)
 
@@ -312,10 +318,12 @@
             "voters": [names.get(disk, disk) for disk in view.voters] if view else [],
             "permit": agreement.holds_lease(),
             "ailing": agreement.ailing,
+            "leaving": agreement.leaving,
             "mark": chain.state.mark,
             "synced": chain.synced,
             "ageMs": min(to_ms(chain.age()), 86_400_000),
             "config": config.mark if config else 0,
+            "versions": len(chain.state.versions),
             "config_active": bool(config and config.activate <= self.gossip.clock.now()),
             "engines": len(chain.state.engines),
             "claims": len(chain.state.claims),
@@ -327,7 +335,7 @@
                     "http": card.http,
                     "ageMs": card.ageMs,
                 }
-                for card in chain.own_sessions()
+                for card in chain.sessions.standing()
             ],
             "tasks_failed": self.crew.failed,
             "timeUs": instant_us(self.gossip.clock.now()),
