--- a/tests/planted_faults/fault.py
+++ b/tests/planted_faults/fault.py
@@ -14,9 +14,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Rewrite:
-    """One method of a product class, with a piece of its source replaced. Invariant: the piece stands there once."""
+    """One method of a product class, or function of a module, with a piece of its source replaced. Invariant: the
+    piece stands there once."""
 
-    owner: type
+    owner: Any
     method: str
     old: str
     new: str
--- a/tests/planted_faults/probes.py
+++ b/tests/planted_faults/probes.py
@@ -257,20 +257,28 @@
         agreement.learn(view=_next(view=agreement.view))
         if _acts_within_a_lease(player=player, agreement=agreement):
             yield "acts under a new view before the leases under the old one ended"
-    with playing(members=3, seed=SEED) as player:
-        agreement = _core(player=player, place=1).agreement
-        agreement.learn(view=dataclasses.replace(agreement.view, number=agreement.view.number + 2))
-        if agreement.store.level:
-            yield "level after a view was skipped"
-    for was_level in (True, False):
+    for what, level, joined_later, inside in (
+        ("a member that was not level is so under the next view", False, 0, True),
+        ("level after it had left and come back", True, 1, True),
+        ("level outside the chain", True, 0, False),
+    ):
         with playing(members=3, seed=SEED) as player:
             agreement = _core(player=player, place=1).agreement
-            others = [disk for disk in agreement.view.chain if disk != agreement.me]
-            agreement.store.view = dataclasses.replace(agreement.view, chain=others)
-            agreement.store.level = was_level
-            agreement.learn(view=_next(view=agreement.view, chain=[*others, agreement.me]))
+            view = agreement.view
+            agreement.store.level = level
+            others = [disk for disk in view.chain if disk != agreement.me]
+            chain = [*others, agreement.me] if inside else others
+            joined = {disk: view.number + joined_later * (disk == agreement.me) for disk in chain}
+            agreement.learn(view=View(number=view.number + 2, chain=chain, voters=view.voters, joined=joined))
             if agreement.store.level:
-                yield "level as soon as it came into the chain"
+                yield what
+    with playing(members=3, seed=SEED) as player:
+        agreement = _core(player=player, place=1).agreement
+        others = [disk for disk in agreement.view.chain if disk != agreement.me]
+        agreement.store.view = dataclasses.replace(agreement.view, chain=others)
+        agreement.learn(view=_next(view=agreement.view, chain=[*others, agreement.me]))
+        if agreement.store.level:
+            yield "level as soon as it came into the chain"
 
 
 # Founding.
@@ -415,21 +423,26 @@
 def joins() -> Iterator[str]:
     with playing(members=3, seed=SEED) as player:
         _, middle, tail = _chain_cores(player=player)
-        if middle.chain.on_join(ask=JoinAsk(disk="j", mark=0, fresh=False)).granted:
+        view = middle.agreement.view
+        middle.store.view = dataclasses.replace(view, chain=[tail.agreement.me])
+        if middle.joining.on_join(ask=JoinAsk(disk="j", mark=0, fresh=True)).granted:
+            yield "a snapshot handed out by one outside the chain"
+        middle.store.view = view
+        if middle.joining.on_join(ask=JoinAsk(disk="j", mark=0, fresh=False)).granted:
             yield "entries handed out by one that is not the tail"
         held, number = tail.chain.synced, tail.agreement.view.number
         many = _entries(after=held, count=BATCH_MOST + 50)
         tail.chain.on_append(ask=Append(number=number, mark=held, upto=many[-1].mark, entries=many))
-        tail.chain.on_join(ask=JoinAsk(disk="slow", mark=held, fresh=False))
+        tail.joining.on_join(ask=JoinAsk(disk="slow", mark=held, fresh=False))
         if "slow" in tail.agreement.candidates:
             yield "one that is far behind is a candidate"
         known = tail.chain.synced
         tail.store.append(entries=_entries(after=known, count=1))
-        handed = tail.chain.on_join(ask=JoinAsk(disk="j", mark=known - 1, fresh=False)).entries
+        handed = tail.joining.on_join(ask=JoinAsk(disk="j", mark=known - 1, fresh=False)).entries
         if handed[-1].mark != known:
             yield "an entry handed out that is not acknowledged"
         tail.store.reset(state=tail.chain.state)
-        if tail.chain.on_join(ask=JoinAsk(disk="j", mark=0, fresh=False)).granted:
+        if tail.joining.on_join(ask=JoinAsk(disk="j", mark=0, fresh=False)).granted:
             yield "entries handed out behind what is kept"
 
 
@@ -438,13 +451,13 @@
     with playing(members=3, seed=SEED) as player:
         _, middle, tail = _chain_cores(player=player)
         held = middle.chain.synced
-        middle.chain._become(state=State(keep=middle.store.keep))
+        middle.joining._become(state=State(keep=middle.store.keep))
         if middle.chain.synced != held:
             yield "a member was put back to a snapshot"
         one = _entries(after=tail.chain.synced, count=1)
         tail.chain.on_append(ask=Append(number=tail.agreement.view.number, mark=held, upto=one[-1].mark, entries=one))
-        middle.chain.needs_snapshot = False
-        middle.chain._join_once(address=tail.settings.address)
+        middle.joining.needs_snapshot = False
+        middle.joining._catch_up()
         if middle.chain.synced != held:
             yield "a member took entries of a hand-over"
 
@@ -462,9 +475,10 @@
 
 def snapshot_parts() -> Iterator[str]:
     with playing(members=3, seed=SEED) as player:
-        chain = _core(player=player, place=0).chain
-        chain.caller = _TwoMarks(rest=chain.state.snapshot().part(number=0))
-        if chain._fetch_snapshot(address="") is not None:
+        core = _core(player=player, place=0)
+        joining = core.joining
+        joining.caller = _TwoMarks(rest=core.chain.state.snapshot().part(number=0))
+        if joining._fetch_snapshot(address="") is not None:
             yield "a snapshot of parts of two marks"
 
 
--- a/tests/planted_faults/scenarios.py
+++ b/tests/planted_faults/scenarios.py
@@ -110,25 +110,26 @@
         yield from _ended(player=player)
 
 
-def resent_before_acknowledged() -> Iterator[str]:
-    """A change lies at the head, the rest of the chain is cut off, and it is sent again and again."""
+def raced() -> Iterator[str]:
+    """Two changes on one base reach the head at once, and the rest of the chain is cut off: neither may be answered,
+    nor refused, before the other is acknowledged."""
     with playing(members=3, seed=1) as player:
         head, middle, tail = _places(player=player)
         _cut(player=player, here=[middle], there=[tail])
-        change = player.operators.change(base=1)
         chain = player.machines.core(place=head).chain
-        early: list[int] = []
+        current: list[tuple[Kind, int]] = []
 
-        def send() -> None:
-            status = player.operators.put_once(change=change, control=head)
-            if status == 200 and chain.state.mark < chain.synced:
-                early.append(status)
+        def write(change: Change) -> None:
+            tree = {"text": packed(change=change).decode()}
+            fields = {"kind": "config", "tree": tree, "version": change.version, "based_on": change.base}
+            current.append((chain.write(change=fields).kind, chain.state.config.version))
 
-        for _ in range(20):
-            eventlet.spawn(send)
-            player.sleep(ms(150))
-        if early:
-            yield "answered as acknowledged while the tail does not have it"
+        for text in ("one", "rival", "one"):
+            eventlet.spawn(write, Change(version=2, base=1, text=text))
+        player.sleep(6 * SECOND)
+        for kind, version in current:
+            if kind in (Kind.ANSWERED, Kind.MARK_OUTDATED) and version < 2:
+                yield f"{kind.value} while version {version} is the acknowledged one"
 
 
 def all_killed_after_acknowledgement() -> Iterator[str]:
@@ -240,7 +241,7 @@
         probes.proposer_takes_up_what_was_accepted, probes.proposer_needs_majorities, probes.takeover,
         probes.founding, probes.founding_in_part, probes.appends, probes.tail_without_lease, probes.tail_not_level,
         probes.joins, probes.late_hand_over, probes.snapshot_parts, probes.voter_replacement, head_cut_off,
-        read_from_cut_off, versions, resent_before_acknowledged, all_killed_after_acknowledgement,
+        read_from_cut_off, versions, raced, all_killed_after_acknowledgement,
         old_head_returns, chain_shrinks_under_a_write, short_chain,
     )
 }  # fmt: skip
--- a/tests/planted_faults/table.py
+++ b/tests/planted_faults/table.py
@@ -1,6 +1,10 @@
 """The planted faults, one for each condition."""
 
+from typing import Any
+
+from dockmux.control import chain_replica
 from dockmux.control.chain_replica import ChainReplica
+from dockmux.control.joining import Joining
 from dockmux.control.replica_store import ReplicaStore
 from dockmux.control.view_agreement import ViewAgreement
 from dockmux.ferry.operator_api import OperatorApi
@@ -8,7 +12,7 @@
 
 
 def _fault(
-    name: str, condition: str, owner: type, method: str, old: str, new: str, *, directed: str = "", harmless: str = ""
+    name: str, condition: str, owner: Any, method: str, old: str, new: str, *, directed: str = "", harmless: str = ""
 ) -> PlantedFault:
     rewrite = Rewrite(owner=owner, method=method, old=old, new=new)
     return PlantedFault(
@@ -56,11 +60,14 @@
            "self.store.promised = codec.to_fields(message=ask)\n        if False:", directed="promises"),
     _fault("propose-earlier", "a proposer takes up what was accepted before", ViewAgreement, "propose",
            "if earlier:", "if False:", directed="proposer_takes_up_what_was_accepted"),
+    _fault("propose-level", "a view is proposed only when its head is known to be level", ViewAgreement, "propose",
+           "if not earlier and not _enough_level(promises, view=wanted, copies=copies):", "if False:",
+           harmless="a head that is not level does not accept the view, nor act under it"),
     _fault("propose-promises", "a proposer needs a majority of promises", ViewAgreement, "propose",
-           "if len(granted) < majority or self.view is not old:", "if self.view is not old:",
+           "if _granted(promises) < majority or self.view is not old:", "if self.view is not old:",
            directed="proposer_needs_majorities"),
     _fault("propose-acceptances", "a view is decided by a majority of acceptances", ViewAgreement, "propose",
-           "if sum(reply.granted for reply in accepts) < majority:", "if False:",
+           "if _granted(accepts) < majority:", "if False:",
            directed="proposer_needs_majorities"),
 ]  # fmt: skip
 
@@ -85,13 +92,15 @@
     _fault("takeover-grants", "grants under the view before count no more", ViewAgreement, "learn",
            "self.grants.clear()", "pass",
            harmless="every grant from before the takeover ends before acts_from, a lease and its margin after it"),
-    _fault("takeover-level", "whoever is new in the chain is not level", ViewAgreement, "_stays_level",
-           "return self.store.level and old is not None and view.number == old.number + 1 and self.me in old.chain",
-           "return True", directed="takeover"),
+    _fault("takeover-level-not-level", "a member that is not level does not become so by a view", ViewAgreement,
+           "_stays_level", "or not self.store.level:", ":", directed="takeover"),
+    _fault("takeover-level-rejoined", "a member that left the chain and came back is not level", ViewAgreement,
+           "_stays_level", "return view.joined.get(self.me, view.number - 1) <= old.number", "return True",
+           directed="takeover"),
     _fault("takeover-level-new-member", "a member that was not in the chain before is not level", ViewAgreement,
-           "_stays_level", "and self.me in old.chain", "", directed="takeover"),
-    _fault("takeover-level-skipped-view", "a member that skipped a view is not level", ViewAgreement, "_stays_level",
-           "and view.number == old.number + 1", "", directed="takeover"),
+           "_stays_level", "or self.me not in old.chain", "", directed="takeover"),
+    _fault("takeover-level-outside", "who is not in the chain is not level", ViewAgreement,
+           "_stays_level", "if self.me not in view.chain:", "if False:", directed="takeover"),
     _fault("takeover-while-extending", "no view is taken over while entries are added", ViewAgreement, "learn",
            "with self.extending, self.voting:", "with self.voting:"),
     _fault("start-wait", "a daemon that starts acts under no view for the length of a lease", ViewAgreement, "__init__",
@@ -114,14 +123,23 @@
            "self._sync_vote(founding=ask.view)", 'not setattr(self.store, "founding", ask.view)',
            directed="founding"),
     _fault("found-unanimous", "founding is unanimous", ViewAgreement, "_found",
-           "sum(reply.granted for reply in replies) == len(view.voters)", "True", directed="founding_in_part"),
+           "return _granted(replies) == len(view.voters)", "return True", directed="founding_in_part"),
 ]  # fmt: skip
 
 ACKNOWLEDGEMENT = [
-    _fault("copies", "a change is taken only by a chain of enough copies", ChainReplica, "write",
+    _fault("copies", "a change is taken only by a chain of enough copies", ChainReplica, "_write",
            "if len(view.chain) < self.settings.copies:", "if False:", directed="short_chain"),
-    _fault("one-copy", "what only one disk holds is not acknowledged", ChainReplica, "_acknowledge",
-           "if len(self.agreement.view.chain) < 2:", "if False:", directed="chain_shrinks_under_a_write"),
+    _fault("answer-copies", "a change that too few disks hold is not answered as taken", ChainReplica,
+           "_answer_acknowledged", "if len(view.chain) < self.settings.copies:", "if False:",
+           directed="chain_shrinks_under_a_write"),
+    _fault("answer-view", "a change is answered once it is acknowledged under the present view", ChainReplica,
+           "_answer_acknowledged", "if number != view.number:", "if False:"),
+    _fault("answer-mark", "a change is answered, or refused, once what that rests on is acknowledged", ChainReplica,
+           "_answer_acknowledged", "if write.mark <= mark]", "]", directed="raced"),
+    _fault("refusal-at-once", "a change is refused once what it is judged by is acknowledged", ChainReplica,
+           "_extend", "answered.append(write)", "write.done.send(write.verdict)", directed="raced"),
+    _fault("level-upto", "only a level member brings its successor up", ChainReplica, "_push",
+           "upto = self.synced if self.store.level else NEVER_LEVEL", "upto = self.synced"),
     _fault("followed-view", "a member passes on only what its successor acknowledged under the same view",
            ChainReplica, "on_append", "if self.followed[0] != ask.number:", "if False:",
            harmless="what was acknowledged under an older view was acknowledged: to say so again is true"),
@@ -134,7 +152,7 @@
     _fault("push-view", "an answer from the successor counts under the view that it was asked under only",
            ChainReplica, "_push", "if self.agreement.view.number != number:", "if False:",
            harmless="an acknowledgement under the view before was given by its tail under lease, and stays true"),
-    _fault("head-lease-to-take", "a head takes a change only under its lease", ChainReplica, "write",
+    _fault("head-lease-to-take", "a head takes a change only under its lease", ChainReplica, "_write",
            "if not self.agreement.holds_lease():", "if False:", directed="head_cut_off"),
     _fault("head-lease-to-add", "a head adds entries only under its lease", ChainReplica, "_extend",
            "if not (self.agreement.is_head() and self.agreement.holds_lease()):", "if not self.agreement.is_head():",
@@ -164,7 +182,7 @@
            "self.store.vote(level=True)", "self.store.level = True",
            harmless="unsynced, a restart finds the member not level, which is the careful side"),
     _fault("append-unsynced", "entries are synced before they are acknowledged", ChainReplica, "on_append",
-           "self._sync(entries=fresh)", "self.store.entries.extend(fresh)", directed="appends"),
+           "self.sync(entries=fresh)", "self.store.entries.extend(fresh)", directed="appends"),
 ]  # fmt: skip
 
 SYNC = [
@@ -176,31 +194,30 @@
     _fault("view-sync", "a view that was taken over is synced", ViewAgreement, "learn",
            "self.store.vote(view=view, level=level)", "self.store.view, self.store.level = view, level",
            harmless="it was decided by synced acceptances, from which a restart learns it anew"),
-    _fault("failed-sync", "entries whose sync failed are not counted", ChainReplica, "_sync",
+    _fault("failed-sync", "entries whose sync failed are not counted", ChainReplica, "sync",
            "raise", "self.store.entries.extend(entries)", directed="appends"),
 ]  # fmt: skip
 
 JOIN = [
-    _fault("join-level", "a joiner is level only once its predecessor brought it up", ViewAgreement, "_stays_level",
-           "return self.store.level and old is not None and view.number == old.number + 1 and self.me in old.chain",
-           "return self.store.level or (old is not None and self.me not in old.chain)", directed="takeover"),
-    _fault("join-caught-up", "only who has caught up is a candidate", ChainReplica, "on_join",
+    _fault("join-caught-up", "only who has caught up is a candidate", Joining, "on_join",
            "if len(missing) <= BATCH_MOST:", "if True:", directed="joins"),
-    _fault("join-acknowledged", "a joiner is handed acknowledged entries only", ChainReplica, "on_join",
-           "if entry.mark <= self.state.mark]", "]", directed="joins"),
-    _fault("join-tail", "only who acts as the tail hands out entries", ChainReplica, "on_join",
-           "if not self.acting_tail():", "if False:", directed="joins"),
-    _fault("join-base", "a joiner that is behind what is kept needs a snapshot", ChainReplica, "on_join",
+    _fault("join-acknowledged", "a joiner is handed acknowledged entries only", Joining, "on_join",
+           "if entry.mark <= self.chain.state.mark]", "]", directed="joins"),
+    _fault("join-snapshot-member", "only a member hands out a snapshot", Joining, "on_join",
+           "if agreement.member() else None", "", directed="joins"),
+    _fault("join-tail", "only who acts as the tail hands out entries", Joining, "on_join",
+           "if not self.chain.acting_tail():", "if False:", directed="joins"),
+    _fault("join-base", "a joiner that is behind what is kept needs a snapshot", Joining, "on_join",
            "if ask.mark < self.store.base_mark:", "if False:", directed="joins"),
-    _fault("join-snapshot", "who comes back throws away what it held", ChainReplica, "run_joining",
+    _fault("join-snapshot", "who comes back throws away what it held", Joining, "run",
            "self.needs_snapshot = True", "self.needs_snapshot = False", directed="old_head_returns"),
-    _fault("join-start-snapshot", "a daemon that starts outside the chain throws away what it held", ChainReplica,
+    _fault("join-start-snapshot", "a daemon that starts outside the chain throws away what it held", Joining,
            "__init__", "self.needs_snapshot = True", "self.needs_snapshot = False", directed="old_head_returns"),
-    _fault("join-member", "a member takes nothing from a hand-over that is still under way", ChainReplica,
-           "_join_once", "if self.agreement.member():", "if False:", directed="late_hand_over"),
-    _fault("become-member", "a member is not put back to a snapshot", ChainReplica, "_become",
+    _fault("join-member", "a member takes nothing from a hand-over that is still under way", Joining,
+           "_catch_up", "if self.agreement.member():", "if False:", directed="late_hand_over"),
+    _fault("become-member", "a member is not put back to a snapshot", Joining, "_become",
            "if self.agreement.member():", "if False:", directed="late_hand_over"),
-    _fault("snapshot-parts", "the parts of a snapshot are of one mark", ChainReplica, "_fetch_snapshot",
+    _fault("snapshot-parts", "the parts of a snapshot are of one mark", Joining, "_fetch_snapshot",
            'or (number and told["mark"] != state.mark)', "", directed="snapshot_parts"),
 ]  # fmt: skip
 
@@ -224,25 +241,29 @@
 ]  # fmt: skip
 
 VERSIONS = [
-    _fault("version-base", "a change builds on the current version", ChainReplica, "_judge_version",
-           'if change["based_on"] != current:', "if False:", directed="versions"),
-    _fault("version-rises", "a version is above the current one", ChainReplica, "_judge_version",
-           "if version <= current:", "if False:", directed="versions"),
-    _fault("version-resent", "a change that was taken is known when it is sent again", ChainReplica, "_judge_version",
-           'if config.version == version and config.tree == change["tree"]:', "if False:", directed="versions"),
-    _fault("version-acknowledged", "a change sent again is answered once it is acknowledged", ChainReplica,
-           "_judge_version", "if config.mark <= self.state.mark:", "if True:", directed="resent_before_acknowledged"),
+    _fault("version-base", "a change builds on the current version", chain_replica, "judge_version",
+           "if based_on != current:", "if False:", directed="versions"),
+    _fault("version-rises", "a version is above the current one", chain_replica, "judge_version",
+           "if version is not None and version <= current:", "if False:", directed="versions"),
+    _fault("version-resent", "a change that was taken is known when it is sent again", chain_replica, "judge_version",
+           "if taken is not None and taken.digest == digest:", "if False:", directed="versions"),
+    _fault("version-text", "a change of a taken number is another one when its text differs", chain_replica,
+           "judge_version", "and taken.digest == digest", "", directed="versions"),
 ]  # fmt: skip
 
 READS = [
-    _fault("read-age", "a daemon answers a read only if its knowledge of the tail is fresh", OperatorApi, "_get",
-           "if self.core.chain.age() >= self.core.agreement.lease:", "if False:", directed="read_from_cut_off"),
+    _fault("read-confirmed", "a read is answered once the tail has confirmed", OperatorApi, "_get",
+           "if not self.core.chain.confirm():", "if False:", directed="read_from_cut_off"),
+    _fault("read-began", "the tail confirms after the read began", ChainReplica, "confirm",
+           "return self.known_at >= began", "return self.age() < self.agreement.lease", directed="read_from_cut_off"),
     _fault("confirm-tail", "only who acts as the tail confirms", ChainReplica, "on_confirm",
            "and self.acting_tail()", "", directed="read_from_cut_off"),
     _fault("confirm-view", "a tail confirms under its own view only", ChainReplica, "on_confirm",
            "and view.number == ask.number", "",
            harmless="the answer brings the newer view, which is taken over before the rest is looked at"),
-    _fault("confirm-from-answer", "knowledge counts from before it was asked for", ChainReplica, "run_confirming",
+    _fault("confirm-mark", "what the tail confirms is held here", ChainReplica, "_confirm_once",
+           "and reply.mark <= self.synced", ""),
+    _fault("confirm-from-answer", "knowledge counts from before it was asked for", ChainReplica, "_confirm_once",
            "max(self.known_at, sent)", "self.host.elapsed()"),
 ]  # fmt: skip
 
