--- a/tests/planted_faults/probes.py
+++ b/tests/planted_faults/probes.py
@@ -8,12 +8,14 @@
 
 import eventlet
 
+from dockmux.accord.host import Host
 from dockmux.accord.record_log import parse
 from dockmux.accord.span import ZERO, ms
 from dockmux.accord.types import (
     AcceptAsk,
     Append,
     ConfirmAsk,
+    ConfirmReply,
     Entry,
     FoundAsk,
     GrantAsk,
@@ -22,7 +24,7 @@
     PromiseAsk,
     View,
 )  # fmt: skip
-from dockmux.control.chain_replica import BATCH_MOST
+from dockmux.control.chain_replica import BATCH_MOST, Write
 from dockmux.control.core import Core
 from dockmux.control.state import State
 from dockmux.control.view_agreement import ViewAgreement
@@ -483,6 +485,90 @@
             yield "a snapshot of parts of two marks"
 
 
+# Answers.
+
+
+class _Answers:
+    """Answers asks as it was told to, one after the other, each after a while."""
+
+    def __init__(self, *, host: Host, replies: list[tuple[timedelta, Any]]) -> None:
+        self.host = host
+        self.replies = list(replies)
+        self.asked: list[Any] = []
+
+    def call(self, *, address: str, ask: Any, wait: timedelta) -> Any:
+        self.asked.append(ask)
+        after, reply = self.replies.pop(0) if self.replies else (SECOND, None)
+        self.host.sleep(wait=after)
+        if reply is None:
+            raise OSError("no answer")
+        return reply
+
+
+def _confirmed(*, core: Core, ahead: int = 0) -> ConfirmReply:
+    return ConfirmReply(granted=True, mark=core.chain.synced + ahead, view=None, sessions=[], untilUs=0)
+
+
+def late_confirmation() -> Iterator[str]:
+    """A confirmation that was asked for before a read began comes while the read's own gets no answer; another tells
+    of more than is held here."""
+    with playing(members=3, seed=SEED) as player:
+        core = _chain_cores(player=player)[0]
+        replies = [(ms(300), _confirmed(core=core)), (ms(400), None)]
+        core.chain.caller = _Answers(host=core.host, replies=replies)
+        eventlet.spawn(core.chain._confirm_once)
+        player.sleep(ms(100))
+        # What its own task asks meanwhile gets no answer either.
+        if core.chain.confirm():
+            yield "a read confirmed by what was asked for before it began"
+    with playing(members=3, seed=SEED) as player:
+        core = _chain_cores(player=player)[0]
+        core.chain.caller = _Answers(host=core.host, replies=[(ZERO, _confirmed(core=core, ahead=5))])
+        if core.chain.confirm():
+            yield "a read confirmed for more than is held"
+
+
+def answers_of_a_former_view() -> Iterator[str]:
+    with playing(members=3, seed=SEED) as player:
+        head, middle, _ = _chain_cores(player=player)
+        write = Write(change={}, mark=50)
+        head.chain.waiting = [write]
+        head.chain.acknowledged = (head.agreement.view.number - 1, 99)
+        head.chain._answer_acknowledged()
+        if write.done.ready():
+            yield "a change answered by an acknowledgement under a former view"
+        lost = Write(change={}, mark=50)
+        middle.chain.waiting = [lost]
+        player.sleep(ms(300))
+        if not lost.done.ready():
+            yield "a change that waits at one that is not the head any more"
+
+
+def level_by_one_that_is_not() -> Iterator[str]:
+    with playing(members=3, seed=SEED) as player:
+        middle = _chain_cores(player=player)[1]
+        middle.store.level = False
+        answers = middle.chain.caller = _Answers(host=middle.host, replies=[])
+        try:
+            middle.chain._push()
+        except OSError:
+            pass
+        asks = [ask for ask in answers.asked if isinstance(ask, Append)]
+        if asks[0].upto <= middle.chain.synced:
+            yield "a member that is not level would bring its successor up"
+
+
+def takeover_while_extending() -> Iterator[str]:
+    with playing(members=3, seed=SEED) as player:
+        agreement = _core(player=player, place=1).agreement
+        number = agreement.view.number
+        with agreement.extending:
+            eventlet.spawn(agreement.learn, view=_next(view=agreement.view))
+            player.sleep(ms(100))
+            if agreement.view.number != number:
+                yield "a view was taken over while entries were added"
+
+
 # Voters.
 
 
--- a/tests/planted_faults/table.py
+++ b/tests/planted_faults/table.py
@@ -102,7 +102,8 @@
     _fault("takeover-level-outside", "who is not in the chain is not level", ViewAgreement,
            "_stays_level", "if self.me not in view.chain:", "if False:", directed="takeover"),
     _fault("takeover-while-extending", "no view is taken over while entries are added", ViewAgreement, "learn",
-           "with self.extending, self.voting:", "with self.voting:"),
+           "with self.extending, self.voting:", "with self.voting:",
+           directed="takeover_while_extending"),
     _fault("start-wait", "a daemon that starts acts under no view for the length of a lease", ViewAgreement, "__init__",
            "self.acts_from = host.elapsed() + self.lease * DRIFT_MARGIN", "self.acts_from = host.elapsed()",
            directed="takeover"),
@@ -134,14 +135,16 @@
            "_answer_acknowledged", "if len(view.chain) < self.settings.copies:", "if False:",
            directed="chain_shrinks_under_a_write"),
     _fault("answer-view", "a change is answered once it is acknowledged under the present view", ChainReplica,
-           "_answer_acknowledged", "if number != view.number:", "if False:"),
+           "_answer_acknowledged", "if number != view.number:", "if False:",
+           directed="answers_of_a_former_view"),
     _fault("answer-mark", "a change is answered, or refused, once what that rests on is acknowledged", ChainReplica,
            "_answer_acknowledged", "done = [write for write in self.waiting if write.mark <= mark]",
            "done, mark = self.waiting, 1 << 60", directed="raced"),
     _fault("refusal-at-once", "a change is refused once what it is judged by is acknowledged", ChainReplica,
            "_extend", "answered.append(write)", "write.done.send(write.verdict)", directed="raced"),
     _fault("level-upto", "only a level member brings its successor up", ChainReplica, "_push",
-           "upto = self.synced if self.store.level else NEVER_LEVEL", "upto = self.synced"),
+           "upto = self.synced if self.store.level else NEVER_LEVEL", "upto = self.synced",
+           directed="level_by_one_that_is_not"),
     _fault("followed-view", "a member passes on only what its successor acknowledged under the same view",
            ChainReplica, "on_append", "if self.followed[0] != ask.number:", "if False:",
            harmless="what was acknowledged under an older view was acknowledged: to say so again is true"),
@@ -164,7 +167,8 @@
            "if self.planned_view != self.agreement.view.number:", "if False:",
            harmless="members fold each entry into what they judge by as they add it; only the time of claims differs"),
     _fault("settle-lost", "a head that was replaced says that it does not know", ChainReplica, "_settle_lost",
-           "if self.waiting and not self.agreement.is_head():", "if False:"),
+           "if self.waiting and not self.agreement.is_head():", "if False:",
+           directed="answers_of_a_former_view"),
 ]  # fmt: skip
 
 APPEND = [
@@ -267,9 +271,11 @@
            "and view.number == ask.number", "",
            harmless="the answer brings the newer view, which is taken over before the rest is looked at"),
     _fault("confirm-mark", "what the tail confirms is held here", ChainReplica, "_confirm_once",
-           "and reply.mark <= self.synced", ""),
+           "and reply.mark <= self.synced", "",
+           directed="late_confirmation"),
     _fault("confirm-from-answer", "knowledge counts from before it was asked for", ChainReplica, "_confirm_once",
-           "max(self.known_at, sent)", "self.host.elapsed()"),
+           "max(self.known_at, sent)", "self.host.elapsed()",
+           directed="late_confirmation"),
 ]  # fmt: skip
 
 COPIES_BOTH = PlantedFault(
