--- a/tests/control_model/control_model_test.py
+++ b/tests/control_model/control_model_test.py
@@ -6,7 +6,7 @@
 from tests.control_model.history import CHECKS
 from tests.control_model.search import Search
 
-EXAMPLES = {3: 50, 5: 20}
+EXAMPLES = {3: 80, 5: 35}
 SEARCH_SEED = 1
 
 
