Pause before a request tries an engine again that could not be reached

Cause, found by the model of sends: where every engine refuses connections, a request tried them without a pause, 28,845 connects in 8 s for one request. Ruled out: engines that turn a request away (these use up its tries).

--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -44,6 +44,10 @@
     writer_span: timedelta
     expected: timedelta
 
+    def names(self, *, engines: set[str]) -> bool:
+        """Whether any of these engines has a part in it."""
+        return self.writer.engine in engines or (self.reader is not None and self.reader.engine in engines)
+
 
 def shared_key(*, parts: tuple[Part, ...]) -> str:
     """What requests that share their prompt's beginning have in common; empty when nothing is shared."""
--- a/dockmux/ferry/record.py
+++ b/dockmux/ferry/record.py
@@ -32,6 +32,8 @@
     reads: int = 0
     ran: bool = False
     avoid: set[str] = dataclasses.field(default_factory=set)
+    unreached: set[str] = dataclasses.field(default_factory=set)
+    pauses: int = 0
     engine: str = ""
     since: timedelta = timedelta()
     wire: HttpStream | None = None
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -29,6 +29,9 @@
 SILENT = timedelta(milliseconds=700)
 # When to come back where nothing was run.
 RETRY_MS = 250
+# Before an engine is tried again that could not be reached for this request: so long at first, then twice as long.
+RETRY_PAUSE = timedelta(milliseconds=20)
+RETRY_PAUSE_MOST = timedelta(milliseconds=320)
 # Engines that are asked to read for one request, before its writer reads itself.
 READS_MOST = 2
 # Readings count as being turned away for so long after one was.
@@ -171,6 +174,10 @@
             if not record.ran and self.host.elapsed() + pairing.expected > record.ends_at():
                 kind, why = Kind.BUSY, "it would not be answered in time"
                 break
+            if pairing.names(engines=record.unreached):
+                self._pause_before_retry(record=record)
+                if self._over(record=record):
+                    continue
             memory = None
             if pairing.reader is not None:
                 taken = self._may_read(record=record)
@@ -233,6 +240,13 @@
             raise CutAnswer(why)
         yield from visit.conclude(outcome=Outcome(kind=kind, detail={"why": why}, retryMs=RETRY_MS), fractions=True)
 
+    def _pause_before_retry(self, *, record: Record) -> None:
+        """One that refuses connections does so at once, and would be tried thousands of times a second."""
+        pause = min(RETRY_PAUSE * 2**record.pauses, RETRY_PAUSE_MOST)
+        record.pauses = min(record.pauses + 1, 8)
+        left = record.ends_at() - self.host.elapsed()
+        self.host.sleep(wait=max(min(pause, left), ZERO))
+
     def _end(self, *, kind: Kind) -> None:
         self.journal.append(event=Concluded(kind=kind))
 
@@ -330,6 +344,8 @@
 
     def _judge_engine(self, *, record: Record, engine: EngineEntry, told: Unsent | TurnedAway | Broken) -> None:
         record.avoid.add(engine.engine)
+        if isinstance(told, Unsent):
+            record.unreached.add(engine.engine)
         record.why = told.why
         if isinstance(told, TurnedAway) and not told.other_engine:
             return
