--- a/tests/planted_faults/probes.py
+++ b/tests/planted_faults/probes.py
@@ -14,6 +14,7 @@
 from dockmux.accord.types import (
     AcceptAsk,
     Append,
+    Appended,
     ConfirmAsk,
     ConfirmReply,
     Entry,
@@ -544,6 +545,27 @@
             yield "a change that waits at one that is not the head any more"
 
 
+def acknowledged_under_another_view() -> Iterator[str]:
+    """What a successor said under one view comes when another stands."""
+    with playing(members=3, seed=SEED) as player:
+        head, middle, _ = _chain_cores(player=player)
+        number = head.agreement.view.number
+        reply = Appended(state="acked", mark=head.chain.synced)
+        head.chain.caller = _Answers(host=head.host, replies=[(ms(50), reply)])
+        eventlet.spawn(head.chain._push)
+        player.sleep(ms(20))
+        head.agreement.store.view = dataclasses.replace(head.agreement.view, number=number + 1)
+        head.chain.acknowledged = (number + 1, 0)
+        player.sleep(ms(100))
+        if head.chain.acknowledged != (number + 1, 0) or head.chain.followed[0] == number + 1:
+            yield "an acknowledgement under a former view counted under the present one"
+        middle.chain.caller = _Answers(host=middle.host, replies=[(ms(1), Appended(state="refused", mark=0))])
+        middle.chain.followed = (number - 1, middle.chain.synced)
+        ask = Append(number=number, mark=middle.chain.synced, upto=middle.chain.synced, entries=[])
+        if middle.chain.on_append(ask=ask).state == "acked":
+            yield "a member passed on what its successor acknowledged under a former view"
+
+
 def level_by_one_that_is_not() -> Iterator[str]:
     with playing(members=3, seed=SEED) as player:
         middle = _chain_cores(player=player)[1]
--- a/tests/planted_faults/scenarios.py
+++ b/tests/planted_faults/scenarios.py
@@ -285,6 +285,7 @@
         probes.founding, probes.founding_in_part, probes.appends, probes.tail_without_lease, probes.tail_not_level,
         probes.joins, probes.late_hand_over, probes.snapshot_parts, probes.voter_replacement,
         probes.late_confirmation, probes.answers_of_a_former_view,
+        probes.acknowledged_under_another_view,
         probes.level_by_one_that_is_not, probes.takeover_while_extending, head_cut_off,
         read_from_cut_off, versions, raced, all_killed_after_acknowledgement,
         old_head_returns, old_head_returns_and_starts_anew, read_from_lagging_head,
