--- a/tests/planted_faults/probes.py
+++ b/tests/planted_faults/probes.py
@@ -28,7 +28,7 @@
 from dockmux.control.chain_replica import BATCH_MOST, Write
 from dockmux.control.core import Core
 from dockmux.control.state import State
-from dockmux.control.view_agreement import ViewAgreement
+from dockmux.control.view_agreement import Founders, ViewAgreement
 from dockmux.omen.world import World
 from tests.control_model.history import Change
 from tests.control_model.operators import packed
@@ -296,28 +296,34 @@
     with _alone(started=1) as player:
         core = _core(player=player, place=0)
         agreement = core.agreement
+        settings = agreement.settings
+        agreement.settings = dataclasses.replace(settings, cores=1)
+        if agreement._founders() is not None:
+            yield "founds before it has heard every seed"
+        agreement.settings = settings
         voters = sorted([agreement.me, "x", "y"])
         other = sorted([agreement.me, "x", "z"])
-        founders = {"known": voters}
-        agreement._known_founders = lambda: founders["known"]
-        settings = agreement.settings
+        known = Founders(disks=voters, seeds=frozenset(["x", "y"]), proposer="x")
+        agreement._founders = lambda: known
 
         def found(named: list[str]) -> bool:
             return agreement.on_found(ask=FoundAsk(view=View(number=1, chain=named, voters=named))).granted
 
         if found(other):
-            yield "founded a set that it does not name itself"
-        founders["known"] = voters[:2]
-        if found(voters[:2]):
+            yield "founded a set that lacks a seed"
+        if found(sorted(["x", "y", "z"])):
+            yield "founded a set that it is not in itself"
+        agreement.settings = dataclasses.replace(settings, cores=4)
+        if found(voters):
             yield "founded with fewer than are to"
-        founders["known"] = voters
-        agreement.settings = dataclasses.replace(settings, may_found=False)
+        agreement.settings = settings
+        agreement.store.may_found = False
         if found(voters):
             yield "founded without leave"
-        agreement.settings = settings
+        agreement.store.may_found = True
         agreement.store.founding = None
         assert found(voters)
-        founders["known"] = other
+        known = Founders(disks=other, seeds=frozenset(["x"]), proposer="x")
         if found(other):
             yield "founded two sets"
         store = _restart(player=player, core=core).store
@@ -330,14 +336,14 @@
     with _alone(started=3) as player:
         agreements = [_core(player=player, place=place).agreement for place in range(3)]
         for agreement in agreements:
-            agreement.settings = dataclasses.replace(agreement.settings, may_found=False)
-        while not all(len(agreement._known_founders()) == 3 for agreement in agreements):
+            agreement.store.may_found = False
+        while not all(agreement._founders() for agreement in agreements):
             player.sleep(ms(10))
-        founders = agreements[0]._known_founders()
+        founders = agreements[0]._founders().disks
         away = next(place for place in range(3) if agreements[place].me == founders[-1])
         player.machines.host(place=away).machine.isolated = True
         for agreement in agreements:
-            agreement.settings = dataclasses.replace(agreement.settings, may_found=True)
+            agreement.store.may_found = True
         player.sleep(4 * SECOND)
         if any(agreement.view is not None for agreement in agreements):
             yield "founded without all founders"
