Let a reader become a writer where no writer is left, however few there are

Cause: a phase kept its last two engines also where the other had none. Ruled out: the control side, whose log shows views, orders and configurations going on; the list of engines.

--- a/dockmux/ferry/phase_balancer.py
+++ b/dockmux/ferry/phase_balancer.py
@@ -49,6 +49,9 @@
     """The phase that wants one more engine, if any, and the other can spare it."""
     to_read_ms = pressure.to_read_ms / max(readers, 1)
     running = pressure.streams / (max(writers, 1) * max(slots, 1))
+    if not writers and readers:
+        # Nobody can answer; one that writes also reads.
+        return "decode"
     if writers < LEAST and readers > LEAST:
         return "decode"
     if readers < LEAST and writers > LEAST:
@@ -165,7 +168,7 @@
             if phase is None:
                 continue
             givers = writers if phase == "prefill" else readers
-            if len(givers) <= LEAST - 1:
+            if len(givers) < (LEAST if writers else 1):
                 continue
             engine = min(givers, key=self._weight)
             self.moved_at[service] = now
--- a/tests/balance_test.py
+++ b/tests/balance_test.py
@@ -1,6 +1,9 @@
 """Which way an engine is moved, from a service's pressure."""
 
+import pytest
+
 from dockmux.ferry.phase_balancer import Pressure, choose_phase
+from tests.standins.fleet import fleet
 
 
 def chosen(*, readers: int, writers: int, to_read_ms: float, streams: float) -> str | None:
@@ -40,3 +43,22 @@
                         readers=readers + step, writers=writers - step, to_read_ms=to_read_ms, streams=streams
                     )  # fmt: skip
                     assert again in (first, None)
+
+
+@pytest.mark.parametrize("readers", [1, 2, 3, 5])
+def test_without_a_writer_a_reader_becomes_one_however_few_there_are(readers: int):
+    assert chosen(readers=readers, writers=0, to_read_ms=0, streams=0) == "decode"
+    assert chosen(readers=readers, writers=0, to_read_ms=5000, streams=0) == "decode"
+
+
+def test_two_reading_engines_that_are_left_serve_again():
+    """All writers are gone for good; the two that are left only read prompts, and nobody could answer."""
+    with fleet(seed=18, phases="ppdd") as made:
+        made.send(path="/notes/a")
+        for engine in ("i-d2", "i-d3"):
+            made.list.rows.pop(engine)
+            made.kill(name=engine)
+        made.sleep(seconds=12)
+        tries = made.load(paths=("/notes/a", "/once/b"), per_second=4, seconds=5)
+        assert sum(seen.right for seen in tries) >= len(tries) - 1
+        made.sound()
