Packages test: all parts of the C library, on amd64 and arm64

Seen: on arm64 a clean checkout of main is red, 619 passed, 1 failed: test_the_listed_packages_are_those_that_build_and_run_need, KeyError: 'libdl.so.2'.

Cause: the test's table had five libraries, those that the x86-64 wheels name. The arm64 wheel of rpds names libdl.so.2 as well, which belongs to libc6 as the others do.

Looked up, not guessed: the shlibs files of libc6 2.36-9+deb12u14 of amd64 and arm64 (dpkg-deb -e). Both list the same parts but for libmvec.so.1 (amd64) and the loader's name.

This is portability and no easing: the set of packages asked for is compared as before, the search for names now finds the loader's too, an unknown library still fails, and says so with how to look it up; a further test holds the table against the machine's own list. A library outside libc6, libgcc-s1 and libstdc++6 is as unknown as before.

Not run on x86-64 (no such machine here).

--- a/tests/packages_test.py
+++ b/tests/packages_test.py
@@ -6,6 +6,8 @@
 from importlib import metadata
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).resolve().parent.parent
 BASE = ""
 """Stands for what every Debian system has: its essential packages and what these depend on."""
@@ -17,15 +19,40 @@
 }
 PACKAGES_OF_DOWNLOADS = frozenset({"ca-certificates"})
 """What pip needs to reach a registry over TLS."""
+PARTS_OF_THE_C_LIBRARY = (
+    "libBrokenLocale.so.1",
+    "libanl.so.1",
+    "libc.so.6",
+    "libc_malloc_debug.so.0",
+    "libdl.so.2",
+    "libm.so.6",
+    "libmvec.so.1",
+    "libnsl.so.1",
+    "libnss_compat.so.2",
+    "libnss_dns.so.2",
+    "libnss_files.so.2",
+    "libnss_hesiod.so.2",
+    "libpthread.so.0",
+    "libresolv.so.2",
+    "librt.so.1",
+    "libthread_db.so.1",
+    "libutil.so.1",
+)
+"""What libc6 of Debian 12 holds, by the `shlibs` files of its amd64 and arm64 packages; libmvec is on amd64 only."""
+LOADERS = ("ld-linux-x86-64.so.2", "ld-linux-aarch64.so.1")
+"""The same files' program loaders, of amd64 and arm64."""
 PACKAGE_OF_LIBRARY = {
-    "libc.so.6": BASE,
-    "libm.so.6": BASE,
-    "libpthread.so.0": BASE,
+    **dict.fromkeys(PARTS_OF_THE_C_LIBRARY, BASE),
+    **dict.fromkeys(LOADERS, BASE),
     "libgcc_s.so.1": BASE,
     "libstdc++.so.6": "libstdc++6",
 }
 SEPARATORS = frozenset({"||", "&&", ";", "|", "{", "}", "(", ")"})
-NEEDED_LIBRARY = re.compile(rb"\0(lib[\w+.-]*\.so\.\d+)(?=\0)")
+NEEDED_LIBRARY = re.compile(rb"\0((?:lib|ld-linux)[\w+.-]*\.so\.\d+)(?=\0)")
+
+
+class UnknownLibrary(AssertionError):
+    """A compiled dependency names a library of which this test does not know the package."""
 
 
 def _system() -> dict:
@@ -64,12 +91,22 @@
     return libraries
 
 
+def _package_of(*, library: str) -> str:
+    """The Debian package of a shared library; UnknownLibrary for one that is not in the table."""
+    if library not in PACKAGE_OF_LIBRARY:
+        raise UnknownLibrary(
+            f"{library} is named by a compiled dependency and stands in no table of {Path(__file__).name}: "
+            f"look up its package (dpkg -S {library}) and enter it"
+        )
+    return PACKAGE_OF_LIBRARY[library]
+
+
 def _needed() -> set[str]:
     system = _system()
     commands = [system["build"], *(role["run"] for role in system["roles"].values())]
     programs = {program for command in commands for program in _programs(command=command)}
     packages = {PACKAGE_OF_PROGRAM[program] for program in programs}
-    packages |= {PACKAGE_OF_LIBRARY[library] for library in _compiled_libraries()}
+    packages |= {_package_of(library=library) for library in _compiled_libraries()}
     if "python3 -m pip" in programs:
         packages |= PACKAGES_OF_DOWNLOADS
     return packages - {BASE}
@@ -91,3 +128,17 @@
 
 def test_the_compiled_dependencies_are_seen():
     assert "libstdc++.so.6" in _compiled_libraries()
+
+
+def test_a_library_that_no_table_knows_is_named_in_the_failure():
+    with pytest.raises(UnknownLibrary, match=r"libssl\.so\.3 is named .*dpkg -S libssl"):
+        _package_of(library="libssl.so.3")
+
+
+def test_the_machine_that_runs_this_has_its_c_library_in_the_table():
+    """Where Debian's own list of the C library's parts is at hand, the table has all of them."""
+    lists = sorted(Path("/var/lib/dpkg/info").glob("libc6*.shlibs"))
+    for path in lists:
+        rows = [line.split() for line in path.read_text().splitlines() if not line.startswith("udeb:")]
+        named = {f"{name}.so.{version}" for name, version, *_ in rows}
+        assert named <= PACKAGE_OF_LIBRARY.keys(), f"{path}: {sorted(named - PACKAGE_OF_LIBRARY.keys())}"
