Streams: a failure met while resuming is no part of the stream

Cause: Table._run read the status of an engine's answer only for the head of the client's. While a stream was resumed, a failure was read as a further piece: without a body it ended the stream, with an empty line it was given on as an event. The same gap the other way: a first failure with a body was cut into events, run again, and the next run's events went out under the failure's head; a stream cut before its first event kept the stamp of an engine that had given none. An engine's 500 also made a failing engine count as well.

Ruled out: the resend (Last-Event-Id was right in each record), chunk framing, the stand-in, the budget.

Why this works: what becomes of an answer is decided once, at its head, by a table of four rows (ferry/relay.py, docs/sends.md): behind events only a success goes on, a failure is left out and counts as a failed try, a first failure is given on as it came, and the head is written with the first byte given.

The other data plane (verge/legs.py) takes any status but 200 for broken and had no such gap (read).

--- a/dockmux/ferry/calls.py
+++ b/dockmux/ferry/calls.py
@@ -42,6 +42,11 @@
         """Whether the engine said where the body ends; a connection's end may as well be that of the engine."""
         return self.response.chunked or self.response.length_remaining is not None
 
+    @property
+    def is_engine_failure(self) -> bool:
+        """Whether the status says that the engine, and not the request, is at fault."""
+        return self.status >= 500
+
     def pieces(self) -> Iterator[bytes]:
         """As they arrive; an error of the wire when the answer breaks off."""
         if self.response.chunked:
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -14,9 +14,9 @@
 from dockmux.ferry.calls import WIRE_ERRORS, Answer, Calls
 from dockmux.ferry.dialect import Dialect, EngineEntry, Memory
 from dockmux.ferry.directory import Directory
-from dockmux.ferry.events import Events
 from dockmux.ferry.placement import Pairing, Placement
 from dockmux.ferry.record import Record
+from dockmux.ferry.relay import Relay, Step
 from dockmux.ferry.routes import RunRule
 from dockmux.ferry.send_state import Broken, TurnedAway, Unsent
 from dockmux.ferry.tracker import Tracker
@@ -160,11 +160,10 @@
 
     def _run(self, *, visit: Visit, record: Record) -> Iterator[bytes]:
         route = record.route
-        resumable = route.run is RunRule.RESUMABLE
-        events = Events(last=record.ask.last_event) if resumable and route.stream else None
-        begun = False
+        resumable = route.run is RunRule.RESUMABLE and route.stream
+        relay = Relay(visit=visit, dialect=self.dialect, resumable=resumable, last_event=record.ask.last_event)
         while True:
-            kind, why = self._barred(record=record, begun=begun)
+            kind, why = self._barred(record=record, bound=relay.bound)
             if kind is not None:
                 break
             pairing = self._pair(record=record)
@@ -192,7 +191,6 @@
                 self._drop(memory=memory)
                 kind, why = Kind.BUSY, "no extra send is left"
                 break
-            last = events.last if events is not None else None
             span = pairing.writer_span
             with contextlib.ExitStack() as stack:
                 stack.enter_context(self.work.streaming(engine=pairing.writer.engine))
@@ -201,7 +199,7 @@
                 if span > ZERO:
                     reading.enter_context(self.work.reading(engine=pairing.writer.engine, span=span))
                 told = stack.enter_context(
-                    self.calls.run(record=record, engine=pairing.writer, memory=memory, last=last)
+                    self.calls.run(record=record, engine=pairing.writer, memory=memory, last=relay.last_event)
                 )  # fmt: skip
                 if not isinstance(told, Answer):
                     self._note_failed(record=record, engine=pairing.writer, told=told, memory=memory)
@@ -210,36 +208,41 @@
                 if span > ZERO or memory is not None:
                     # Memory that was moved there is kept there as well.
                     self._note_parts(record=record, engine=pairing.writer)
+                if relay.take_head(told=told) is Step.LEAVE_OUT:
+                    self._note_broken(
+                        record=record, engine=pairing.writer, why=f"resumption ended with {told.status}",
+                        fault=told.is_engine_failure,
+                    )  # fmt: skip
+                    continue
                 try:
-                    for data in told.pieces():
+                    for given in relay.pieces(told=told, closing=self.draining):
                         reading.close()
                         record.since = self.signs[pairing.writer.engine] = self.host.elapsed()
-                        given = data if events is None else events.feed(data=data)
-                        if not begun:
-                            begun = record.begun = True
-                            visit.begin(status=told.status, headers=self._headers(told=told, cut=events is not None))
+                        record.begun = relay.begun
                         if given:
                             yield given
-                    if events is not None and events.held:
-                        raise ValueError("it ends inside an event")
-                    self.verdicts.note_success(engine=pairing.writer.engine)
+                    if not told.is_engine_failure:
+                        self.verdicts.note_success(engine=pairing.writer.engine)
                     self.journal.append(event=Concluded(kind=Kind.ANSWERED))
-                    if not begun:
-                        visit.begin(status=told.status, headers=self._headers(told=told, cut=False))
                     return
                 except WIRE_ERRORS as error:
                     told.whole = False
-                    record.why = record.why or f"{type(error).__name__}: {error}"
-                    record.avoid.add(pairing.writer.engine)
-                    if not self._over(record=record):
-                        self.verdicts.note_failure(engine=pairing.writer.engine, why=record.why)
-                    if events is not None:
-                        events.held = b""
+                    self._note_broken(
+                        record=record, engine=pairing.writer, why=record.why or f"{type(error).__name__}: {error}",
+                        fault=True,
+                    )  # fmt: skip
         self._end(kind=kind)
-        if begun:
+        if relay.begun:
             raise CutAnswer(why)
         yield from visit.conclude(outcome=Outcome(kind=kind, detail={"why": why}, retryMs=RETRY_MS), fractions=True)
 
+    def _note_broken(self, *, record: Record, engine: EngineEntry, why: str, fault: bool) -> None:
+        """An answer brought the request to no end; `fault` says that this speaks against the engine."""
+        record.why = why
+        record.avoid.add(engine.engine)
+        if fault and not self._over(record=record):
+            self.verdicts.note_failure(engine=engine.engine, why=why)
+
     def _pause_before_retry(self, *, record: Record) -> None:
         """One that refuses connections does so at once, and would be tried thousands of times a second."""
         pause = min(RETRY_PAUSE * 2**record.pauses, RETRY_PAUSE_MOST)
@@ -253,11 +256,12 @@
     def _over(self, *, record: Record) -> bool:
         return self.host.elapsed() >= record.ends_at()
 
-    def _barred(self, *, record: Record, begun: bool) -> tuple[Kind | None, str]:
-        """Why the request goes to no engine any more, if so."""
+    def _barred(self, *, record: Record, bound: bool) -> tuple[Kind | None, str]:
+        """Why the request goes to no engine any more, if so. `bound` says that the client has a part of an answer that
+        no other engine can go on with."""
         if record.ran and not record.route.repeatable:
             return Kind.FAILED, record.why or "the engine broke off"
-        if record.ran and begun and record.route.run is not RunRule.RESUMABLE:
+        if record.ran and bound:
             return Kind.FAILED, record.why or "the engine broke off"
         if self._over(record=record):
             return (Kind.UNKNOWN if record.ran else Kind.BUSY), "its time is over"
@@ -363,11 +367,3 @@
     def _drop(self, *, memory: Memory | None) -> None:
         if memory is not None:
             self.to_forget.append(memory)
-
-    def _headers(self, *, told: Answer, cut: bool) -> list[tuple[str, str]]:
-        kept = self.dialect.answer_headers(headers=told.headers)
-        if cut or told.response.chunked:
-            kept = [(name, value) for name, value in kept if name.lower() != "content-length"]
-        if self.draining:
-            kept.append(("Connection", "close"))
-        return kept
--- a/tests/answers_test.py
+++ b/tests/answers_test.py
@@ -43,9 +43,9 @@
 def test_without_its_bar_a_request_would_be_run_twice(monkeypatch):
     barred = Table._barred
 
-    def forgetful(self, *, record, begun):
+    def forgetful(self, *, record, bound):
         record.ran = False
-        return barred(self, record=record, begun=begun)
+        return barred(self, record=record, bound=bound)
 
     monkeypatch.setattr(Table, "_barred", forgetful)
     with fleet(seed=11) as made:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -87,9 +87,16 @@
     """What goes wrong with the next `left` answers, whichever engines give them: "break off" after `after` events,
     "break off early" before the first, "another's answer", "encoded", "no seal", or "surplus" so long after the
     answer's end; `surplus` are its bytes, when it is to be no answer. The kinds of WIRE_FAULTS happen to the
-    connection itself; "late" answers come after `late_by`."""
+    connection itself; "late" answers come after `late_by`. A "failure" is an answer with `failure_status` and
+    `failure_body`, its length announced or in chunks, which breaks off before its end where `failure_cut`. While
+    `sequence` has kinds, it names those of the next answers in their order, "" for a sound one."""
 
     kind: str = ""
+    sequence: list[str] = dataclasses.field(default_factory=list)
+    failure_status: int = 500
+    failure_body: bytes = b""
+    failure_chunked: bool = False
+    failure_cut: bool = False
     left: int = 0
     after: int = 3
     surplus: bytes = b""
@@ -98,6 +105,8 @@
 
     def next(self, *, early: bool = False) -> str:
         """The fault of this answer; the kinds of EARLY_FAULTS are asked for before the request is taken up."""
+        if self.sequence and not early:
+            return self.sequence.pop(0)
         if self.left <= 0 or (self.kind in EARLY_FAULTS) is not early:
             return ""
         self.left -= 1
@@ -318,6 +327,9 @@
         row.status = 200
         if fault in WIRE_FAULTS and not (yield from self._on_the_wire(visit=visit, row=row, fault=fault, count=out)):
             return
+        if fault == "failure":
+            yield from self._fail(visit=visit, row=row)
+            return
         told_id, self.last = (self.last or "0000") if fault == "another's answer" else row.request_id, row.request_id
         headers = [("X-Request-Id", told_id), ("Keep-Alive", "timeout=5")]
         if fault != "no seal":
@@ -342,6 +354,19 @@
         if fault == "break off":
             raise OSError("breaks off")
 
+    def _fail(self, *, visit: Visit, row: Arrival) -> Iterator[bytes]:
+        """A failure of the engine's own, sealed as all its answers."""
+        faults = self.faults
+        row.status = faults.failure_status
+        headers = [("X-Request-Id", row.request_id), ("X-Seal", f"{self.engine}.{row.request_id}")]
+        if not faults.failure_chunked:
+            headers.append(("Content-Length", str(len(faults.failure_body))))
+        visit.begin(status=faults.failure_status, headers=headers)
+        if faults.failure_cut:
+            yield faults.failure_body[: len(faults.failure_body) // 2]
+            raise OSError("breaks off")
+        yield faults.failure_body
+
     def _plain(
         self, *, visit: Visit, row: Arrival, headers: list[tuple[str, str]], told_id: str, fault: str
     ) -> Iterator[bytes]:
