Stopping: nothing is taken in that the process's end would cut

Cause: what a stopping daemon takes in was tied to nothing. Table.site admitted as ever, Edge.drain only counted, and at its limit the program ended. Kept connections stayed open; only relayed heads said that they close.

Ruled out: the length of the grace time (clients go on all the same), the platform's routing (the requests came on kept connections), the engines (sound and at work).

Why this works: ferry/leaving.py states the order of a stop. For 2.5 s all is taken in; then only what its deadline or time-out ends before the process does, the rest gets 503 with Retry-After at once; every answer closes its connection, idle ones are closed; 300 ms before the end whoever has nothing gets a final answer; the process waits for connections with an unanswered request, not only for admitted ones.

--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -1,6 +1,7 @@
 """HTTP at the seam: serving through eventlet's WSGI engine, asking through urllib3."""
 
 import contextlib
+import functools
 import http.client
 import io
 import json
@@ -20,6 +21,7 @@
 from dockmux.accord.crew import where
 from dockmux.accord.host import Host, split_address, within
 from dockmux.accord.kinds import Answer, Outcome
+from dockmux.accord.served_connections import CONNECTION_KEY, HttpConnection, ServedConnections
 
 SEND_LIMIT = timedelta(seconds=10)
 IDLE_LIMIT = timedelta(seconds=60)
@@ -95,12 +97,17 @@
             seconds = f"{outcome.retryMs / 1000:.3f}" if fractions else str(max(1, -(-outcome.retryMs // 1000)))
             headers.append(("Retry-After", seconds))
         if outcome.kind in ("too_large", "bad_type"):
-            headers.append(("Connection", "close"))
+            self.environ[CONNECTION_KEY].close_connection = True
         return self.reply(status=answer.status, fields=fields, headers=headers)
 
 
-def serve(*, host: Host, listener: Any, site: Callable[[Visit], Iterable[bytes]], idle: timedelta = IDLE_LIMIT) -> None:
-    """Serves on a socket that is bound already, so that a taken address shows at the daemon's start."""
+def serve(
+    *, host: Host, listener: Any, site: Callable[[Visit], Iterable[bytes]], idle: timedelta = IDLE_LIMIT,
+    connections: ServedConnections | None = None,
+) -> None:  # fmt: skip
+    """Serves on a socket that is bound already, so that a taken address shows at the daemon's start. `connections` has
+    those that are served, for whoever is to end them."""
+    kept = ServedConnections() if connections is None else connections
 
     def application(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
         # Made before the first piece is asked for: it tells the engine not to gather pieces.
@@ -125,6 +132,7 @@
         keepalive=idle.total_seconds(),
         max_size=4096,
         socket_timeout=SEND_LIMIT.total_seconds(),
+        protocol=functools.partial(HttpConnection, connections=kept),
     )
 
 
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -9,6 +9,7 @@
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
 from dockmux.accord.kinds import Kind, Outcome
+from dockmux.accord.served_connections import ServedConnections
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ZERO, ms, to_ms
 from dockmux.accord.types import DirectoryAsk, DirectoryReply, NewsAsk, PeerCard, WorkSummary
@@ -20,6 +21,7 @@
 from dockmux.ferry.deployment import Deployment
 from dockmux.ferry.dialect import Dialect, EngineEntry
 from dockmux.ferry.directory import Directory
+from dockmux.ferry.leaving import Leaving
 from dockmux.ferry.placement import Placement
 from dockmux.ferry.table import Table
 from dockmux.ferry.tracker import Tracker
@@ -35,8 +37,6 @@
 # choose the engine that was idle last.
 TELL_AT_ONCE_MS = 60
 TELL_TO = 12
-# After SIGTERM, until the platform has seen that this daemon is not ready.
-LINGER = timedelta(milliseconds=3200)
 IDLE = timedelta(seconds=15)
 DIRECTORY_LIMIT = timedelta(milliseconds=800)
 
@@ -54,7 +54,8 @@
         self.settings = settings
         self.deployment = deployment
         self.dialect = dialect
-        self.stop_at: timedelta | None = None
+        self.leaving: Leaving | None = None
+        self.served = ServedConnections()
         card = PeerCard(
             name=settings.name, role="edge", site=settings.site, address=settings.address, http=settings.http,
             incarnation=f"{host.random.getrandbits(64):016x}", ageMs=0,
@@ -100,21 +101,24 @@
                 self.run_list,
             ):  # fmt: skip
                 crew.keep(task=task)
-            crew.keep(task=serve, host=host, listener=front, site=self.site, idle=IDLE)
+            crew.keep(task=serve, host=host, listener=front, site=self.site, idle=IDLE, connections=self.served)
             crew.keep(task=serve, host=host, listener=ready, site=self.ready_site)
             host.log(Note.STARTED, role="edge", name=settings.name, address=settings.address)
             yield self
 
     def drain(self) -> int:
         """Not ready from now on; says how many requests are open, and one more while new ones may still come."""
-        if self.stop_at is None:
-            self.stop_at = self.host.elapsed()
-            self.table.draining = True
-        lingers = self.host.elapsed() - self.stop_at < LINGER
-        return self.table.open + lingers
+        now = self.host.elapsed()
+        if self.leaving is None:
+            self.leaving = Leaving(told_at=now, ends_at=now + ms(self.settings.drainMs))
+            self.table.leave(leaving=self.leaving)
+            self.served.closing = True
+        if not self.leaving.admits_all(now=now):
+            self.served.close_idle()
+        return self.served.busy + self.leaving.lingers(now=now)
 
     def is_ready(self) -> bool:
-        return self.stop_at is None and self.tracker.table is not None and bool(self.directory.rows)
+        return self.leaving is None and self.tracker.table is not None and bool(self.directory.rows)
 
     # HTTP.
 
--- a/dockmux/ferry/record.py
+++ b/dockmux/ferry/record.py
@@ -16,7 +16,8 @@
     may have run: from then on it is not refused. While it waits for an engine, `engine` names it, `since` is when
     that last gave a sign, `wire` is the connection, and `reading` says that only its prompt is read there, which
     may be asked for again whatever the route's rule. `begun` says that the
-    client has a first event: before it, it waits no longer than the route's patience."""
+    client has a first event: before it, it waits no longer than the route's patience, nor past `answer_by`, by when a
+    daemon that stops has to have answered."""
 
     key: int
     ask: Ask
@@ -39,6 +40,7 @@
     wire: HttpStream | None = None
     reading: bool = False
     begun: bool = False
+    answer_by: timedelta = timedelta.max
     why: str = ""
 
     def wait_for(self, *, engine: str, wire: HttpStream, now: timedelta, reading: bool) -> None:
@@ -51,7 +53,7 @@
 
     def ends_at(self) -> timedelta:
         """When nobody waits for it any more."""
-        return self.until if self.begun else min(self.until, self.began + self.route.patience)
+        return self.until if self.begun else min(self.until, self.began + self.route.patience, self.answer_by)
 
     def wait_over(self) -> None:
         self.engine, self.wire = "", None
--- a/dockmux/ferry/relay.py
+++ b/dockmux/ferry/relay.py
@@ -53,28 +53,26 @@
             self.step = step
         return step
 
-    def pieces(self, *, told: Answer, closing: bool) -> Iterator[bytes]:
+    def pieces(self, *, told: Answer) -> Iterator[bytes]:
         """What of the answer goes to the client, as it arrives, b"" where a piece brings nothing yet. WIRE_ERRORS when
         it breaks off: what it left of an event is dropped then."""
         try:
             for data in told.pieces():
                 given = self.events.feed(data=data) if self.step is Step.GIVE_EVENTS else data
                 if given:
-                    self._begin(told=told, closing=closing)
+                    self._begin(told=told)
                 yield given
             if self.events.held:
                 raise ValueError("it ends inside an event")
         finally:
             self.events.held = b""
-        self._begin(told=told, closing=closing)
+        self._begin(told=told)
 
-    def _begin(self, *, told: Answer, closing: bool) -> None:
+    def _begin(self, *, told: Answer) -> None:
         if self.begun:
             return
         self.begun = True
         headers = self.dialect.answer_headers(headers=told.headers)
         if self.step is Step.GIVE_EVENTS or told.response.chunked:
             headers = [(name, value) for name, value in headers if name.lower() != "content-length"]
-        if closing:
-            headers.append(("Connection", "close"))
         self.visit.begin(status=told.status, headers=headers)
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -14,6 +14,7 @@
 from dockmux.ferry.calls import WIRE_ERRORS, Answer, Calls
 from dockmux.ferry.dialect import Dialect, EngineEntry, Memory
 from dockmux.ferry.directory import Directory
+from dockmux.ferry.leaving import Leaving
 from dockmux.ferry.placement import Pairing, Placement
 from dockmux.ferry.record import Record
 from dockmux.ferry.relay import Relay, Step
@@ -69,7 +70,7 @@
         self.records: dict[int, Record] = {}
         self.tally = Tally()
         self.journal = Journal(views=[self.tally])
-        self.draining = False
+        self.leaving: Leaving | None = None
         self.last_key = 0
         self.to_forget: list[Memory] = []
         self.turned_at = -TURNED_FOR
@@ -84,6 +85,12 @@
         self.journal.fold(view=self.tally)
         return dict(self.tally.counts)
 
+    def leave(self, *, leaving: Leaving) -> None:
+        """From now on only what can be brought to its end is taken in, and what is open is answered in time."""
+        self.leaving = leaving
+        for record in self.records.values():
+            record.answer_by = leaving.answer_by
+
     # Passes.
 
     def expire(self) -> None:
@@ -136,10 +143,13 @@
             return self._refuse(visit=visit, kind=Kind.TOO_LARGE, why="the body is over the limit")
         now = self.host.elapsed()
         hold = min(route.hold, ask.deadline or HOLD_DEFAULT)
+        if self.leaving is not None and not self.leaving.admits(now=now, until=now + hold):
+            return self._refuse(visit=visit, kind=Kind.DRAINING, why="this daemon ends before the request might")
         self.last_key += 1
         record = Record(
             key=self.last_key, ask=ask, route=route, service=route.service(request_id=ask.request_id),
             method=visit.method, target=visit.target, headers=visit.headers, body=body, began=now, until=now + hold,
+            answer_by=timedelta.max if self.leaving is None else self.leaving.answer_by,
         )  # fmt: skip
         self.budget.note_request(service=record.service, now=now)
         return self._course(visit=visit, record=record)
@@ -215,7 +225,7 @@
                     )  # fmt: skip
                     continue
                 try:
-                    for given in relay.pieces(told=told, closing=self.draining):
+                    for given in relay.pieces(told=told):
                         reading.close()
                         record.since = self.signs[pairing.writer.engine] = self.host.elapsed()
                         record.begun = relay.begun
