--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -96,8 +96,9 @@
             fields["retryMs"] = outcome.retryMs
             seconds = f"{outcome.retryMs / 1000:.3f}" if fractions else str(max(1, -(-outcome.retryMs // 1000)))
             headers.append(("Retry-After", seconds))
-        if outcome.kind in ("too_large", "bad_type"):
-            self.environ[CONNECTION_KEY].close_connection = True
+        if outcome.kind in ("too_large", "bad_type") and not self.environ[CONNECTION_KEY].close_connection:
+            # The client closes: closing here, with its body still on the way, would take the answer from it.
+            headers.append(("Connection", "close"))
         return self.reply(status=answer.status, fields=fields, headers=headers)
 
 
