Requests: a head or body that was cut short is never run

Heads cut before the length were run without a body, a cut configuration that still could be read was taken.

Cause: Visit.body compared the length with the limit, not with what was announced, and the library's readers take the connection's end for the end of a line: of a head, or of a chunk size (000010 cut after its first zero is the last chunk).

Why this works: lines of heads, chunk sizes and trailers are read whole or are an error (WholeLines, as for answers); BadBody where less came than was announced, where it stops coming, or where the head can be read in two ways (two lengths, +4, 0_4, unknown codings, found by the tests); 400 or 408 for whoever still listens, and the connection closes.

--- a/dockmux/accord/kinds.py
+++ b/dockmux/accord/kinds.py
@@ -21,6 +21,8 @@
     BAD_FIELD = "bad_field"
     BAD_IDENTITY = "bad_identity"
     TOO_LARGE = "too_large"
+    BODY_CUT = "body_cut"
+    BODY_LATE = "body_late"
     NOT_FOUND = "not_found"
     BAD_METHOD = "bad_method"
     # After a byte may have reached an engine.
@@ -58,6 +60,8 @@
     Kind.BAD_FIELD: Answer(status=422, refusal=True, retry=False),
     Kind.BAD_IDENTITY: Answer(status=409, refusal=True, retry=False),
     Kind.TOO_LARGE: Answer(status=413, refusal=True, retry=False),
+    Kind.BODY_CUT: Answer(status=400, refusal=True, retry=False),
+    Kind.BODY_LATE: Answer(status=408, refusal=True, retry=True),
     Kind.NOT_FOUND: Answer(status=404, refusal=True, retry=False),
     Kind.BAD_METHOD: Answer(status=405, refusal=True, retry=False),
     Kind.FAILED: Answer(status=502, refusal=False, retry=True),
--- a/dockmux/accord/served_connections.py
+++ b/dockmux/accord/served_connections.py
@@ -7,6 +7,8 @@
 
 from eventlet import wsgi
 
+from dockmux.accord.whole_lines import WholeLines
+
 CONNECTION_KEY = "dockmux.connection"
 
 
@@ -38,7 +40,8 @@
 
 
 class HttpConnection(wsgi.HttpProtocol):
-    """The serving side of one connection. Invariants: `turned_away` connections give out no request any more;
+    """The serving side of one connection. Invariants: a head, a chunk's size or a trailer that the end of input cuts
+    short is never taken for a whole one; `turned_away` connections give out no request any more;
     `close_connection` holds while this connection or all of the server's are to end behind the present answer."""
 
     def __init__(self, conn_state: list[Any], server: wsgi.Server, *, connections: ServedConnections) -> None:
@@ -65,13 +68,27 @@
         with contextlib.suppress(OSError):
             self.connection.shutdown(socket.SHUT_RDWR)
 
+    def setup(self) -> None:
+        super().setup()
+        self.rfile = WholeLines(self.rfile.detach())
+
     def handle(self) -> None:
         with self.connections.serving(connection=self):
             super().handle()
 
     def _read_request_line(self) -> bytes | str:
-        line = super()._read_request_line()
+        try:
+            line = super()._read_request_line()
+        except ConnectionError:
+            return ""
         return "" if self.turned_away else line
 
+    def handle_one_request(self) -> None:
+        try:
+            super().handle_one_request()
+        except ConnectionError:
+            # The head ended early: there is no request, and nobody to tell.
+            self.close_connection = True
+
     def get_environ(self) -> dict[str, Any]:
         return {**super().get_environ(), CONNECTION_KEY: self}
--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -3,7 +3,6 @@
 import contextlib
 import functools
 import http.client
-import io
 import json
 import logging
 import socket
@@ -20,8 +19,9 @@
 from dockmux.accord.catalogue import Note
 from dockmux.accord.crew import where
 from dockmux.accord.host import Host, split_address, within
-from dockmux.accord.kinds import Answer, Outcome
+from dockmux.accord.kinds import Answer, Kind, Outcome
 from dockmux.accord.served_connections import CONNECTION_KEY, HttpConnection, ServedConnections
+from dockmux.accord.whole_lines import WholeLines
 
 SEND_LIMIT = timedelta(seconds=10)
 IDLE_LIMIT = timedelta(seconds=60)
@@ -30,13 +30,22 @@
 _quiet.propagate = False
 
 REASONS = {
-    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
+    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 409: "Conflict",
     410: "Gone", 412: "Precondition Failed", 413: "Content Too Large", 415: "Unsupported Media Type",
     422: "Unprocessable Content", 428: "Precondition Required", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout", 507: "Insufficient Storage",
 }  # fmt: skip
 
 
+class BadBody(Exception):
+    """A request's body did not come as it was announced; `kind` is the outcome for whoever still listens."""
+
+    def __init__(self, *, kind: Kind, why: str) -> None:
+        super().__init__(why)
+        self.kind = kind
+
+
 class Visit:
     """One HTTP request that is being answered."""
 
@@ -67,13 +76,33 @@
         return (self.environ.get("CONTENT_TYPE") or "").partition(";")[0].strip().lower()
 
     def body(self, *, limitBytes: int) -> bytes | None:
-        """The whole body; None when it is longer than the limit."""
+        """The whole body, as long as was announced; None when it is longer than the limit. BadBody when it ends early,
+        stops coming, or does not say clearly where it ends."""
+        self._check_framing()
         length = self.environ.get("CONTENT_LENGTH")
         if length and int(length) > limitBytes:
             return None
-        data = self.environ["wsgi.input"].read(limitBytes + 1) if length or self._chunked else b""
+        if not length and not self._chunked:
+            return b""
+        try:
+            data = self.environ["wsgi.input"].read(limitBytes + 1)
+        except TimeoutError:
+            raise BadBody(kind=Kind.BODY_LATE, why="the body stopped coming") from None
+        except (OSError, ValueError) as error:
+            raise BadBody(kind=Kind.BODY_CUT, why=f"the body cannot be read whole: {error}") from None
+        if length and len(data) < int(length):
+            raise BadBody(kind=Kind.BODY_CUT, why=f"the body ended after {len(data)} of {length} bytes")
         return None if len(data) > limitBytes else data
 
+    def _check_framing(self) -> None:
+        """BadBody where two readers of the head could disagree on where the body ends."""
+        lengths = {value for name, value in self.headers if name.lower() == "content-length"}
+        if len(lengths) > 1 or not all(value.isascii() and value.isdigit() for value in lengths):
+            raise BadBody(kind=Kind.BODY_CUT, why="the body's length is not one number")
+        coding = self.environ.get("HTTP_TRANSFER_ENCODING")
+        if coding is not None and not self._chunked:
+            raise BadBody(kind=Kind.BODY_CUT, why="the transfer coding is not known")
+
     @property
     def _chunked(self) -> bool:
         return self.environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
@@ -118,6 +147,9 @@
     def answer(visit: Visit) -> Iterator[bytes]:
         try:
             yield from site(visit)
+        except BadBody as error:
+            visit.environ[CONNECTION_KEY].close_connection = True
+            yield from visit.conclude(outcome=Outcome(kind=error.kind, detail={"why": str(error)}))
         except (OSError, GreenletExit, GeneratorExit):
             raise  # The stream broke, or is to end: it breaks off without its last line.
         except Exception as error:
@@ -141,28 +173,6 @@
     """What came is no answer, or does not say clearly where its body ends."""
 
 
-def _nothing_more(_buffer: Any) -> int:
-    """In place of a raw reader's `readinto`: its end."""
-    return 0
-
-
-class WholeLines(io.BufferedReader):
-    """The reading side of a connection. Invariant: a line is given out only with its end: of one that the
-    connection's end cuts short it is not known what it was to say."""
-
-    def readline(self, size: int | None = -1) -> bytes:
-        line = super().readline(size)
-        limited = size is not None and 0 <= size <= len(line)
-        if not line.endswith(b"\n") and not limited:
-            raise ConnectionResetError("the connection ended before its next line did")
-        return line
-
-    def holds_more(self) -> bool:
-        """Whether something was received and not read; nothing more is received from here on."""
-        self.raw.readinto = _nothing_more
-        return bool(self.peek(1))
-
-
 class StrictResponse(http.client.HTTPResponse):
     """An answer whose head came whole and says clearly where its body ends; anything else is an error. Interim
     answers before it are passed over. Invariant: `surplus` is true once it was read to its end and more had come by
