Core: a file call that never returns ends the process, to be started anew

Cause: file calls had no bound. The library's pool tells results over a connection of the process to itself; a reset of it ends the pool's reader, and the member lived on, renewed leases and could store neither entry nor vote.

Ruled out: the disk, the view agreement (one such member of three is left out; two are no majority).

To make the pool anew was weighed and left: docs/control.md.

--- a/dockmux/accord/catalogue.py
+++ b/dockmux/accord/catalogue.py
@@ -58,6 +58,12 @@
         "Nothing; they had not been acknowledged.",
     )
     LEAVING = (3011, "info", "told to stop: leaving the chain by agreement, at mark {mark}", "Nothing.")
+    DISK_SILENT = (
+        3012,
+        "error",
+        "a file call has not returned within {limitMs} ms: this process ends with code {code} to be started anew",
+        "Look at the disk when it comes again; what the core had stored is read again at its start.",
+    )
     JOINED = (3009, "info", "caught up from the tail at mark {mark}", "Nothing.")
     SUSPECTED = (
         3010,
--- a/dockmux/accord/daemon.py
+++ b/dockmux/accord/daemon.py
@@ -11,11 +11,17 @@
 from absl import flags, logging
 
 from dockmux.accord.catalogue import Note
+from dockmux.accord.file_calls import FILE_CALL_LIMIT, DiskSilent
 from dockmux.accord.host import LEVELS, Host
 from dockmux.accord.record_log import RecordLogDamaged
 from dockmux.accord.settings import BadSetting
 from dockmux.accord.settings_type import Settings
+from dockmux.accord.span import to_ms
 
+EXIT_CANNOT_RUN = 1
+EXIT_DATA_DAMAGED = 3
+EXIT_DISK_SILENT = 4
+STEP = timedelta(milliseconds=50)
 FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
@@ -30,6 +36,21 @@
     host.log(Note.SETTINGS_READ, seeds=",".join(fresh.seeds))
 
 
+def _wait(*, host: Host, wait: timedelta) -> None:
+    """Waits, and ends the process at once if its disk has fallen silent: it must not act for a state that it can no
+    longer store."""
+    host.sleep(wait=wait)
+    if host.disk_silent:
+        _end_silent(host=host)
+
+
+def _end_silent(*, host: Host) -> None:
+    """Without unwinding: a file call that does not return would hold that up."""
+    host.log(Note.DISK_SILENT, limitMs=to_ms(FILE_CALL_LIMIT), code=EXIT_DISK_SILENT)
+    logging.flush()
+    os._exit(EXIT_DISK_SILENT)
+
+
 def run(
     *, host: Host, settings: Settings, running: AbstractContextManager[Any],
     again: Callable[[], Settings] | None = None,
@@ -56,7 +77,7 @@
     try:
         with running as daemon:
             while not asked:
-                host.sleep(wait=timedelta(milliseconds=100))
+                _wait(host=host, wait=2 * STEP)
                 if changed:
                     changed.clear()
                     _reload(host=host, settings=settings, daemon=daemon, again=again)
@@ -64,13 +85,15 @@
             open_count = daemon.drain()
             host.log(Note.STOPPING, open=open_count)
             while daemon.drain() and host.elapsed() < limit:
-                host.sleep(wait=timedelta(milliseconds=50))
+                _wait(host=host, wait=STEP)
             host.log(Note.STOPPED)
             logging.flush()
             # Streams of user agents that never end would hold up an orderly unwinding.
             os._exit(0)
     except RecordLogDamaged:
-        return 3
+        return EXIT_DATA_DAMAGED
+    except DiskSilent:
+        _end_silent(host=host)
     except OSError as error:
         host.log(Note.CANNOT_RUN, error=error)
-        return 1
+    return EXIT_CANNOT_RUN
--- a/dockmux/accord/host.py
+++ b/dockmux/accord/host.py
@@ -16,6 +16,7 @@
 from eventlet.green import socket
 
 from dockmux.accord.catalogue import Note
+from dockmux.accord.file_calls import FileCalls
 
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
@@ -33,28 +34,34 @@
 
 
 class Folder:
-    """A daemon's data folder. What a call returned from is synced; a failure is an OSError."""
+    """A daemon's data folder. What a call returned from is synced; a failure is an OSError, DiskSilent where a call
+    does not return at all."""
 
     def __init__(self, *, path: str) -> None:
         self.path = Path(path)
+        self.calls = FileCalls()
+
+    def _call(self, work: Callable[..., Any], *arguments: Any) -> Any:
+        with self.calls.bounded():
+            return tpool.execute(work, *arguments)
 
     def read(self, *, name: str) -> bytes | None:
-        return tpool.execute(self._read, name)
+        return self._call(self._read, name)
 
     def append(self, *, name: str, data: bytes, offset: int) -> None:
         """Writes data at offset, which is the end of what counts, cutting off what lies beyond."""
-        tpool.execute(self._append, name, data, offset)
+        self._call(self._append, name, data, offset)
 
     def cut(self, *, name: str, offset: int) -> None:
         """Ends the file at offset."""
-        tpool.execute(self._append, name, b"", offset)
+        self._call(self._append, name, b"", offset)
 
     def make_durable(self, *, name: str, size: int) -> None:
         """Ends the file at size, and syncs it and its name, which an earlier process may have left unsynced."""
-        tpool.execute(self._make_durable, name, size)
+        self._call(self._make_durable, name, size)
 
     def replace(self, *, name: str, data: bytes) -> None:
-        tpool.execute(self._replace, name, data)
+        self._call(self._replace, name, data)
 
     def _read(self, name: str) -> bytes | None:
         try:
@@ -100,6 +107,11 @@
         self.random = random.Random(seed)
         self.folder = Folder(path=folder) if folder else None
 
+    @property
+    def disk_silent(self) -> bool:
+        """Whether a file call of this process has not returned: the process is to end."""
+        return self.folder is not None and self.folder.calls.lost
+
     def elapsed(self) -> timedelta:
         return timedelta(microseconds=time.monotonic_ns() // 1000)
 
--- a/dockmux/omen/world.py
+++ b/dockmux/omen/world.py
@@ -13,6 +13,7 @@
 from eventlet import hubs
 
 from dockmux.accord.catalogue import Note
+from dockmux.accord.file_calls import FileCalls
 from dockmux.accord.host import Host, split_address
 from dockmux.accord.span import ms, us
 from dockmux.omen.hub import VirtualHub
@@ -232,22 +233,32 @@
 
 
 class SimFolder:
-    """The data folder on a simulated disk; it has the real one's ways."""
+    """The data folder on a simulated disk; it has the real one's ways. While `hangs`, no call of this process returns,
+    whatever its disk does."""
 
     def __init__(self, *, host: SimHost) -> None:
         self.host = host
+        self.calls = FileCalls()
+        self.hangs = False
 
     def _wait(self) -> Disk:
         disk = self.host.machine.disk
+        while self.hangs:
+            self.host.sleep(wait=ms(20))
         self.host.sleep(wait=disk.delay * self.host.world.random.uniform(0.5, 2))
         while disk.stalled:
             self.host.sleep(wait=ms(20))
         return disk
 
     def read(self, *, name: str) -> bytes | None:
-        return self._wait().files.get(name)
+        with self.calls.bounded():
+            return self._wait().files.get(name)
 
     def append(self, *, name: str, data: bytes, offset: int) -> None:
+        with self.calls.bounded():
+            self._append(name=name, data=data, offset=offset)
+
+    def _append(self, *, name: str, data: bytes, offset: int) -> None:
         self.host.writing = (name, offset, data)
         try:
             disk = self._wait()
@@ -272,6 +283,10 @@
         self.append(name=name, data=b"", offset=offset)
 
     def replace(self, *, name: str, data: bytes) -> None:
+        with self.calls.bounded():
+            self._replace(name=name, data=data)
+
+    def _replace(self, *, name: str, data: bytes) -> None:
         disk = self._wait()
         if disk.syncs_fail:
             raise OSError(errno.EIO, "input/output error")
--- a/tests/control/cores.py
+++ b/tests/control/cores.py
@@ -59,8 +59,10 @@
             core.operator_api = OperatorApi(core=core, dialect=words.Words()).site
             with core.running():
                 self.daemons[name] = core
-                while True:
-                    host.sleep(wait=timedelta(hours=1))
+                while not host.disk_silent:
+                    host.sleep(wait=ms(100))
+                # As `dockmux.accord.daemon` does it.
+                host.kill()
 
         self.hosts[name] = self.world.start(name=name, ip=rows["ip"], site=rows["az"], run=run)
 
--- a/tests/daemon_test.py
+++ b/tests/daemon_test.py
@@ -42,6 +42,7 @@
         self.signals = signals
         self.logged: list[tuple[Note, dict]] = []
         self.now = timedelta()
+        self.disk_silent = False
 
     def elapsed(self) -> timedelta:
         return self.now
@@ -93,6 +94,16 @@
     ]  # fmt: skip
 
 
+def test_a_daemon_whose_disk_is_silent_ends_with_a_code_of_its_own(own_signals: None) -> None:
+    """Guards against a core that lives on and can neither store nor vote (CONFIG)."""
+    host, made = SignalHost(signals=[signal.SIGHUP]), Daemon()
+    host.disk_silent = True
+    with pytest.raises(Ended) as ended:
+        daemon.run(host=host, settings=settings(seeds=["10.0.0.1:7000"]), running=contextlib.nullcontext(made))
+    assert ended.value.args == (daemon.EXIT_DISK_SILENT,) and not made.drained
+    assert [note for note, _ in host.logged] == [Note.DISK_SILENT]
+
+
 def test_a_changed_file_that_is_wrong_changes_nothing(own_signals: None) -> None:
     def wrong() -> Settings:
         raise BadSetting("seeds: found nothing, allowed: a list of one to three addresses")
