SIGHUP while a daemon starts is noted, it ends nothing

Cause: the handler was installed behind the import of all modules. Ruled out: an end of its own (empty log), a SIGKILL. Left: the interpreter's own start.

--- a/dockmux/accord/daemon.py
+++ b/dockmux/accord/daemon.py
@@ -53,10 +53,10 @@
 
 def run(
     *, host: Host, settings: Settings, running: AbstractContextManager[Any],
-    again: Callable[[], Settings] | None = None,
+    again: Callable[[], Settings] | None = None, changed: list[int] | None = None,
 ) -> int:  # fmt: skip
     """Runs a daemon until SIGTERM or SIGINT, lets it drain, and gives the exit code. SIGHUP has it read its settings
-    `again`."""
+    `again`; `changed` has those signals that came before."""
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(python_logging.Formatter(FORMAT))
@@ -66,10 +66,10 @@
     def note(number: int, _: object) -> None:
         asked.append(number)
 
-    changed: list[int] = []
+    hangups = [] if changed is None else changed
 
     def note_change(number: int, _: object) -> None:
-        changed.append(number)
+        hangups.append(number)
 
     signal.signal(signal.SIGTERM, note)
     signal.signal(signal.SIGINT, note)
@@ -78,8 +78,8 @@
         with running as daemon:
             while not asked:
                 _wait(host=host, wait=2 * STEP)
-                if changed:
-                    changed.clear()
+                if hangups:
+                    hangups.clear()
                     _reload(host=host, settings=settings, daemon=daemon, again=again)
             limit = host.elapsed() + timedelta(milliseconds=settings.drainMs)
             open_count = daemon.drain()
--- a/tests/daemon_test.py
+++ b/tests/daemon_test.py
@@ -75,11 +75,12 @@
         signal.signal(number, handler)
 
 
-def play(*, signals: list[int], again: object) -> tuple[SignalHost, Daemon]:
+def play(*, signals: list[int], again: object, changed: list[int] | None = None) -> tuple[SignalHost, Daemon]:
     host, made = SignalHost(signals=signals), Daemon()
     with pytest.raises(Ended):
         daemon.run(
-            host=host, settings=settings(seeds=["10.0.0.1:7000"]), running=contextlib.nullcontext(made), again=again
+            host=host, settings=settings(seeds=["10.0.0.1:7000"]), running=contextlib.nullcontext(made), again=again,
+            changed=changed,
         )  # fmt: skip
     return host, made
 
@@ -94,6 +95,12 @@
     ]  # fmt: skip
 
 
+def test_a_sighup_from_before_is_heeded(own_signals: None) -> None:
+    """Guards against seeds that stay as they were when a daemon began to start."""
+    host, made = play(signals=[signal.SIGTERM], again=lambda: settings(seeds=["10.0.0.2:7000"]), changed=[1])
+    assert made.peers.seeds == ["10.0.0.2:7000"] and host.logged[0][0] is Note.SETTINGS_READ
+
+
 def test_a_daemon_whose_disk_is_silent_ends_with_a_code_of_its_own(own_signals: None) -> None:
     """Guards against a core that lives on and can neither store nor vote (CONFIG)."""
     host, made = SignalHost(signals=[signal.SIGHUP]), Daemon()
