Connections with descriptors from 1,024 on can be looked at

Cause: select takes no such number (ValueError); each reuse of an engine connection failed with 500, unsent. Mended by urllib3's wait_for_read, which polls. tests/high_descriptor_test.py failed before, passes now.

--- a/dockmux/accord/host.py
+++ b/dockmux/accord/host.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 import random
-import select
 import time
 from collections.abc import Callable, Iterator
 from datetime import UTC, datetime, timedelta
@@ -14,6 +13,7 @@
 from absl import logging
 from eventlet import tpool
 from eventlet.green import socket
+from urllib3.util.wait import wait_for_read
 
 from dockmux.accord.catalogue import Note
 from dockmux.accord.file_calls import FileCalls
@@ -136,7 +136,7 @@
 
     def readable(self, *, sock: Any) -> bool:
         """Whether a read would return at once: data, or the end."""
-        return bool(select.select([sock.fileno()], [], [], 0)[0])
+        return wait_for_read(sock, timeout=0)
 
     def listen(self, *, address: str) -> Any:
         return eventlet.listen(split_address(address=address), backlog=512, reuse_port=False)
