A log whose rewrite failed finds out what stands under its name

Cause: when the rename was done and the folder's sync failed, sizeBytes kept the old file's length; the next append left a gap, which the next start takes for damage. Now the file is read and its name synced before anything is written. tests/control/record_log_rewrite_test.py failed before, passes now; record_log_test passes.

--- a/dockmux/accord/record_log.py
+++ b/dockmux/accord/record_log.py
@@ -82,7 +82,8 @@
 
 class RecordLog:
     """Records on disk. Invariant: `sizeBytes` is the end of the last synced record; what lies beyond
-    it in the file is cut off by the next append; `rewrittenBytes` is the part of it that the last rewrite left."""
+    it in the file is cut off by the next append; `rewrittenBytes` is the part of it that the last rewrite left;
+    `unsettled` is what a failed rewrite may have put in the file's place: nothing is written before that is known."""
 
     def __init__(self, *, host: Host, folder: Folder, name: str) -> None:
         self.host = host
@@ -91,6 +92,7 @@
         self.sizeBytes = 0
         self.rewrittenBytes = 0
         self.ends: list[int] = []
+        self.unsettled: bytes | None = None
 
     def load(self) -> list[dict[str, Any]] | None:
         """What is in the file, synced; None when there is no file."""
@@ -117,6 +119,7 @@
     def append(self, *, records: list[dict[str, Any]]) -> None:
         """On return the records are synced; on Unsure that is not known; on another OSError none of them counts, now
         or at the next start: what may have been written of them is cut off, and that is synced."""
+        self._settle()
         data = batch_line(records=records)
         try:
             self.folder.append(name=self.name, data=data, offset=self.sizeBytes)
@@ -128,6 +131,15 @@
             raise
         self.sizeBytes += len(data)
 
+    def _settle(self) -> None:
+        """Finds which file a failed rewrite left under the name, and syncs the name: an OSError leaves it unsettled."""
+        if self.unsettled is None:
+            return
+        if self.folder.read(name=self.name) == self.unsettled:
+            self.sizeBytes = self.rewrittenBytes = len(self.unsettled)
+        self.folder.make_durable(name=self.name, size=self.sizeBytes)
+        self.unsettled = None
+
     def rewrite(self, *, records: Iterable[dict[str, Any]]) -> None:
         """Others run between the records: a long file must not hold up a permit."""
         lines = []
@@ -139,7 +151,9 @@
                 self.host.sleep(wait=timedelta())
                 sinceBytes = 0
         data = b"".join(lines)
+        self.unsettled = data
         self.folder.replace(name=self.name, data=data)
+        self.unsettled = None
         self.host.log(Note.LEDGER_REWRITTEN, file=self.name, beforeBytes=self.sizeBytes, afterBytes=len(data))
         self.sizeBytes = len(data)
         self.rewrittenBytes = len(data)
