--- a/dockmux/ferry/budget.py
+++ b/dockmux/ferry/budget.py
@@ -45,6 +45,7 @@
 
     def note_request(self, *, service: str, now: timedelta) -> None:
         self.asked[service].append(now)
+        self._count(times=self.asked[service], now=now, span=self.deployment.retry_window)
 
     def _count(self, *, times: deque[timedelta], now: timedelta, span: timedelta) -> int:
         while times and now - times[0] > span:
--- /dev/null
+++ b/tests/budget_memory_test.py
@@ -0,0 +1,15 @@
+"""What the budget keeps of requests."""
+
+from datetime import timedelta
+
+from dockmux.accord.span import ms
+from dockmux.ferry.budget import Budget
+from dockmux.ferry.deployment import Deployment
+
+
+def test_the_budget_forgets_old_requests():
+    """Guards against memory that grows all day."""
+    budget = Budget(deployment=Deployment(retry_ratio=0.2, retry_extra=50), born=timedelta())
+    for number in range(20_000):
+        budget.note_request(service="desk", now=ms(10 * number))
+    assert len(budget.asked["desk"]) <= 1100
