An answer that no other engine can go on with is not cut at silence

Cause: Table.abandon looked at the route only: an idempotent answer whose engine was silent for 0.7 s and found failing was cut in its middle.

--- a/dockmux/ferry/record.py
+++ b/dockmux/ferry/record.py
@@ -17,7 +17,7 @@
     that last gave a sign, `wire` is the connection, and `reading` says that only its prompt is read there, which
     may be asked for again whatever the route's rule. `begun` says that the
     client has a first event: before it, it waits no longer than the route's patience, nor past `answer_by`, by when a
-    daemon that stops has to have answered."""
+    daemon that stops has to have answered; `bound` says that no other engine can go on with what the client has."""
 
     key: int
     ask: Ask
@@ -40,6 +40,7 @@
     wire: HttpStream | None = None
     reading: bool = False
     begun: bool = False
+    bound: bool = False
     answer_by: timedelta = timedelta.max
     why: str = ""
 
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -105,7 +105,9 @@
         """Readings and repeatable requests that wait at an engine which is found failing go on elsewhere."""
         now = self.host.elapsed()
         for record in list(self.records.values()):
-            if record.wire is None or not (record.route.repeatable or record.reading) or now - record.since < SILENT:
+            if record.wire is None or record.bound or now - record.since < SILENT:
+                continue
+            if not (record.route.repeatable or record.reading):
                 continue
             if self.verdicts.failing(engine=record.engine) or record.engine not in self.directory.rows:
                 record.why = "its engine is silent and found failing"
@@ -228,7 +230,7 @@
                     for given in relay.pieces(told=told):
                         reading.close()
                         record.since = self.signs[pairing.writer.engine] = self.host.elapsed()
-                        record.begun = relay.begun
+                        record.begun, record.bound = relay.begun, relay.bound
                         if given:
                             yield given
                     if not told.is_engine_failure:
