HTTP servers heed the configuration's limits and outlast a want of descriptors

Causes: heads over 8,192 bytes met the library's constants (400, 414), hdr_ms and idle_ms were constants of ours, and at EMFILE the library closes the listener while its task goes on.

--- a/dockmux/accord/catalogue.py
+++ b/dockmux/accord/catalogue.py
@@ -25,6 +25,12 @@
         "the changed settings are not taken: {error}",
         "Mend the line that is named and signal again; the former ones hold.",
     )
+    NO_DESCRIPTORS = (
+        1009,
+        "warning",
+        "a connection cannot be accepted: {error}",
+        "Raise the process's limit of descriptors, or spread its clients over more daemons.",
+    )
     CLOCK_JOINED = (2001, "info", "clock synchronized from {peer}, bound {boundMs} ms", "Nothing.")
     CLOCK_FROZE = (
         2002,
--- a/dockmux/accord/served_connections.py
+++ b/dockmux/accord/served_connections.py
@@ -1,22 +1,40 @@
 """The connections of one HTTP server, and how they come to their ends when its daemon is told to stop."""
 
 import contextlib
+import dataclasses
 import socket
 from collections.abc import Iterator
+from datetime import timedelta
 from typing import Any
 
+import eventlet
 from eventlet import wsgi
 
-from dockmux.accord.whole_lines import WholeLines
+from dockmux.accord.whole_lines import HeadTooLarge, WholeLines
 
 CONNECTION_KEY = "dockmux.connection"
+# The most that any configuration may allow for a request's head.
+HEAD_BYTES_MOST = 1 << 20
+# The library's own bounds are constants; `HeadLimits` are in force in their place.
+wsgi.MAX_HEADER_LINE = wsgi.MAX_TOTAL_HEADER_SIZE = HEAD_BYTES_MOST
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeadLimits:
+    """How large a request's head may be, how long it may take once begun, and how long a connection may be idle."""
+
+    size_bytes: int = 16384
+    span: timedelta = timedelta(seconds=10)
+    idle: timedelta = timedelta(seconds=60)
 
 
 class ServedConnections:
     """Invariants: `open` has each connection that is being served; while `closing`, every answer whose head is still to
-    be written says that its connection closes, and no connection is kept behind its answer."""
+    be written says that its connection closes, and no connection is kept behind its answer; `limits` hold for the next
+    request of each connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, idle: timedelta = HeadLimits.idle) -> None:
+        self.limits = HeadLimits(idle=idle)
         self.open: set[HttpConnection] = set()
         self.closing = False
 
@@ -77,18 +95,42 @@
             super().handle()
 
     def _read_request_line(self) -> bytes | str:
+        limits = self.connections.limits
+        self.connection.settimeout(limits.idle.total_seconds())
         try:
-            line = super()._read_request_line()
+            line = self.rfile.readline(limits.size_bytes)
         except ConnectionError:
             return ""
-        return "" if self.turned_away else line
+        self.connection.settimeout(self.server.socket_timeout)
+        if self.turned_away:
+            return ""
+        if not line.endswith(b"\n"):
+            self._refuse_head(status="431 Request Header Fields Too Large")
+            return ""
+        self.rfile.left = limits.size_bytes - len(line)
+        return line
+
+    def parse_request(self) -> bool:
+        limit = eventlet.Timeout(self.connections.limits.span.total_seconds(), False)
+        with limit:
+            return super().parse_request()
+        self._refuse_head(status="408 Request Timeout")
+        return False
 
     def handle_one_request(self) -> None:
         try:
             super().handle_one_request()
+        except HeadTooLarge:
+            self._refuse_head(status="431 Request Header Fields Too Large")
         except ConnectionError:
             # The head ended early: there is no request, and nobody to tell.
             self.close_connection = True
 
+    def _refuse_head(self, *, status: str) -> None:
+        self.close_connection = True
+        self.wfile.write(f"HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".encode())
+
     def get_environ(self) -> dict[str, Any]:
+        # The head is whole; the lines of a body in chunks do not count.
+        self.rfile.left = None
         return {**super().get_environ(), CONNECTION_KEY: self}
--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -1,6 +1,7 @@
 """HTTP at the seam: serving through eventlet's WSGI engine, asking through urllib3."""
 
 import contextlib
+import errno
 import functools
 import http.client
 import json
@@ -20,11 +21,14 @@
 from dockmux.accord.crew import where
 from dockmux.accord.host import Host, split_address, within
 from dockmux.accord.kinds import Answer, Kind, Outcome
-from dockmux.accord.served_connections import CONNECTION_KEY, HttpConnection, ServedConnections
+from dockmux.accord.served_connections import CONNECTION_KEY, HEAD_BYTES_MOST, HttpConnection, ServedConnections
 from dockmux.accord.whole_lines import WholeLines
 
 SEND_LIMIT = timedelta(seconds=10)
 IDLE_LIMIT = timedelta(seconds=60)
+# While a process has no descriptor or buffer left for a connection, before it accepts again.
+ACCEPT_PAUSE = timedelta(milliseconds=100)
+OUT_OF_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 _quiet = logging.getLogger("dockmux.web")
 _quiet.addHandler(logging.NullHandler())
 _quiet.propagate = False
@@ -131,13 +135,34 @@
         return self.reply(status=answer.status, fields=fields, headers=headers)
 
 
+class PatientListener:
+    """A listener that outlasts a want of descriptors: the server library would close it."""
+
+    def __init__(self, *, host: Host, listener: Any) -> None:
+        self.host = host
+        self.listener = listener
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.listener, name)
+
+    def accept(self) -> Any:
+        while True:
+            try:
+                return self.listener.accept()
+            except OSError as error:
+                if error.errno not in OUT_OF_ROOM:
+                    raise
+                self.host.log(Note.NO_DESCRIPTORS, error=error)
+                self.host.sleep(wait=ACCEPT_PAUSE)
+
+
 def serve(
     *, host: Host, listener: Any, site: Callable[[Visit], Iterable[bytes]], idle: timedelta = IDLE_LIMIT,
     connections: ServedConnections | None = None,
 ) -> None:  # fmt: skip
     """Serves on a socket that is bound already, so that a taken address shows at the daemon's start. `connections` has
     those that are served, for whoever is to end them."""
-    kept = ServedConnections() if connections is None else connections
+    kept = ServedConnections(idle=idle) if connections is None else connections
 
     def application(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
         # Made before the first piece is asked for: it tells the engine not to gather pieces.
@@ -157,12 +182,13 @@
             raise
 
     wsgi.server(
-        listener,
+        PatientListener(host=host, listener=listener),
         application,
         log=_quiet,
         log_output=False,
         debug=False,
-        keepalive=idle.total_seconds(),
+        keepalive=True,
+        url_length_limit=HEAD_BYTES_MOST,
         max_size=4096,
         socket_timeout=SEND_LIMIT.total_seconds(),
         protocol=functools.partial(HttpConnection, connections=kept),
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -9,7 +9,7 @@
 from dockmux.accord.crew import Crew
 from dockmux.accord.host import Host
 from dockmux.accord.kinds import Kind, Outcome
-from dockmux.accord.served_connections import ServedConnections
+from dockmux.accord.served_connections import HeadLimits, ServedConnections
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ZERO, ms, to_ms
 from dockmux.accord.types import DirectoryAsk, DirectoryReply, NewsAsk, PeerCard, WorkSummary
@@ -37,7 +37,6 @@
 # choose the engine that was idle last.
 TELL_AT_ONCE_MS = 60
 TELL_TO = 12
-IDLE = timedelta(seconds=15)
 DIRECTORY_LIMIT = timedelta(milliseconds=800)
 
 
@@ -101,7 +100,7 @@
                 self.run_list,
             ):  # fmt: skip
                 crew.keep(task=task)
-            crew.keep(task=serve, host=host, listener=front, site=self.site, idle=IDLE, connections=self.served)
+            crew.keep(task=serve, host=host, listener=front, site=self.site, connections=self.served)
             crew.keep(task=serve, host=host, listener=ready, site=self.ready_site)
             host.log(Note.STARTED, role="edge", name=settings.name, address=settings.address)
             yield self
@@ -172,6 +171,7 @@
         while True:
             self.host.sleep(wait=PASS)
             self._hear()
+            self._take_limits()
             self.table.expire()
             self.table.abandon()
             self._look_at_failing()
@@ -191,6 +191,12 @@
                 self.work.forget(live=names)
                 self.budget.forget(live=names)
 
+    def _take_limits(self) -> None:
+        """Clients have the times and sizes of the configuration in force."""
+        if self.tracker.table is not None:
+            limits = self.tracker.table.limits
+            self.served.limits = HeadLimits(size_bytes=limits.header_bytes, span=limits.header, idle=limits.idle)
+
     def _hear(self) -> None:
         self.gossip.summaries.clear()
         moving, self.gossip.moving[:] = list(self.gossip.moving), []
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -24,6 +24,7 @@
         self.random = random.Random(f"changes-{machines.plan.seed}")
         self.version = 0
         self.routes: list[tuple[str, Kind]] = []
+        self.ending = False
 
     def text(self, *, version: int, routes: list[tuple[str, Kind]], valid: bool = True) -> bytes:
         fields = configuration(gen=version)
@@ -73,7 +74,7 @@
         return change.status == 200
 
     async def run(self) -> None:
-        while True:
+        while not self.ending:
             await asyncio.sleep(self.random.uniform(0.3, 2.5))
             await self.read()
             draw = self.random.random()
