--- /dev/null
+++ b/dockmux/ferry/course.py
@@ -0,0 +1,299 @@
+"""The course of requests: which engine is asked next, what its answer brings, and how a request ends."""
+
+import contextlib
+import dataclasses
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from typing import Any
+
+from dockmux.accord.host import Host
+from dockmux.accord.kinds import Kind
+from dockmux.accord.span import ZERO
+from dockmux.accord.web import Visit
+from dockmux.ferry.budget import Budget
+from dockmux.ferry.calls import WIRE_ERRORS, Answer, Calls
+from dockmux.ferry.dialect import Dialect, EngineEntry, Memory
+from dockmux.ferry.directory import Directory
+from dockmux.ferry.placement import Pairing, Placement
+from dockmux.ferry.record import Record
+from dockmux.ferry.relay import Relay, Step
+from dockmux.ferry.routes import RunRule
+from dockmux.ferry.send_state import Broken, TurnedAway, Unsent
+from dockmux.ferry.verdicts import Verdicts
+from dockmux.ferry.work import Work
+
+# Before an engine is tried again that could not be reached for this request: so long at first, then twice as long.
+RETRY_PAUSE = timedelta(milliseconds=20)
+RETRY_PAUSE_MOST = timedelta(milliseconds=320)
+# Engines that are asked to read for one request, before its writer reads itself.
+READS_MOST = 2
+# Readings count as being turned away for so long after one was.
+TURNED_FOR = timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ending:
+    """How a request ends. Invariant: `cut` says that the client has a part of an answer that cannot be completed; else
+    ANSWERED means that it has a whole one, and any other kind is still to be told."""
+
+    kind: Kind
+    why: str = ""
+    cut: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Send:
+    """What is sent next: to which engines, going on from which memory, if any."""
+
+    pairing: Pairing
+    memory: Memory | None
+
+
+class Course:
+    """Invariants: a request that may have run and may not be repeated is sent to no other engine; each send that is not
+    a request's first is taken from the budget first; an engine is looked up in the newest list just before each send;
+    `moving` names engines that change their phase, which get nothing new until the list shows it or the time is over;
+    `signs` is when an engine last gave one, or was last asked for want of one; `to_forget` is memory that nobody will
+    take."""
+
+    def __init__(
+        self, *, host: Host, dialect: Dialect, directory: Directory, calls: Calls, work: Work, placement: Placement,
+        verdicts: Verdicts, budget: Budget, clock: Any, daemons: Callable[[], int],
+    ) -> None:  # fmt: skip
+        self.host = host
+        self.dialect = dialect
+        self.directory = directory
+        self.calls = calls
+        self.work = work
+        self.placement = placement
+        self.verdicts = verdicts
+        self.budget = budget
+        self.clock = clock
+        self.daemons = daemons
+        self.to_forget: list[Memory] = []
+        self.turned_at = -TURNED_FOR
+        self.signs: dict[str, timedelta] = {}
+        self.moving: dict[str, tuple[str, timedelta]] = {}
+
+    def run(self, *, visit: Visit, record: Record) -> Iterator[bytes | Ending]:
+        """What goes to the client, as it arrives, and at last how the request ended."""
+        resumable = record.route.run is RunRule.RESUMABLE and record.route.stream
+        relay = Relay(visit=visit, dialect=self.dialect, resumable=resumable, last_event=record.ask.last_event)
+        while True:
+            following = self._barred(record=record, bound=relay.bound) or self._next_send(record=record)
+            if isinstance(following, Ending):
+                yield dataclasses.replace(following, cut=relay.begun)
+                return
+            if following is None:
+                continue
+            if (yield from self._send(record=record, relay=relay, send=following)):
+                yield Ending(kind=Kind.ANSWERED)
+                return
+
+    # Before a send.
+
+    def _barred(self, *, record: Record, bound: bool) -> Ending | None:
+        """Why the request goes to no engine any more, if so. `bound` says that the client has a part of an answer that
+        no other engine can go on with."""
+        if record.ran and not record.route.repeatable:
+            return Ending(kind=Kind.FAILED, why=record.why or "the engine broke off")
+        if record.ran and bound:
+            return Ending(kind=Kind.FAILED, why=record.why or "the engine broke off")
+        if self._over(record=record):
+            return Ending(kind=Kind.UNKNOWN if record.ran else Kind.BUSY, why="its time is over")
+        if record.sends >= record.route.tries:
+            kind = Kind.FAILED if record.ran else Kind.BUSY
+            return Ending(kind=kind, why=record.why or "all its tries are used")
+        return None
+
+    def _next_send(self, *, record: Record) -> Send | Ending | None:
+        """Chooses engines and has the prompt read; None when the choice has to be made anew."""
+        pairing = self._pair(record=record)
+        if pairing is None:
+            return Ending(kind=Kind.NO_ENGINE, why="no engine can be used")
+        if not record.ran and self.host.elapsed() + pairing.expected > record.ends_at():
+            return Ending(kind=Kind.BUSY, why="it would not be answered in time")
+        if pairing.names(engines=record.unreached):
+            self._pause_before_retry(record=record)
+            if self._over(record=record):
+                return None
+        memory = None
+        if pairing.reader is not None:
+            taken = self._may_read(record=record)
+            if taken is None:
+                record.reads = READS_MOST
+                return None
+            memory = self._read(record=record, pairing=pairing, taken=taken)
+            if memory is None or not self._usable(engine=pairing.writer):
+                self._drop(memory=memory)
+                return None
+        if not self._take_extra(record=record, first=record.sends == 0):
+            self._drop(memory=memory)
+            return Ending(kind=Kind.BUSY, why="no extra send is left")
+        return Send(pairing=pairing, memory=memory)
+
+    def _pause_before_retry(self, *, record: Record) -> None:
+        """One that refuses connections does so at once, and would be tried thousands of times a second."""
+        pause = min(RETRY_PAUSE * 2**record.pauses, RETRY_PAUSE_MOST)
+        record.pauses = min(record.pauses + 1, 8)
+        left = record.ends_at() - self.host.elapsed()
+        self.host.sleep(wait=max(min(pause, left), ZERO))
+
+    def _over(self, *, record: Record) -> bool:
+        return self.host.elapsed() >= record.ends_at()
+
+    def _take_extra(self, *, record: Record, first: bool) -> bool:
+        if first:
+            return True
+        clock = self.clock
+        bound = clock.bound()
+        time = clock.use() if clock.synchronized else None
+        return self.budget.take(
+            service=record.service, daemons=self.daemons(), now=self.host.elapsed(), time=time, bound=bound
+        )  # fmt: skip
+
+    def engines(self, *, service: str) -> list[EngineEntry]:
+        """Those that may get new work."""
+        now = self.host.elapsed()
+        for engine, (phase, until) in list(self.moving.items()):
+            row = self.directory.rows.get(engine)
+            if now >= until or row is None or row.phase == phase:
+                del self.moving[engine]
+        return [
+            row
+            for row in self.directory.rows.values()
+            if row.service == service and not row.leaving and row.engine not in self.moving
+        ]
+
+    def _usable(self, *, engine: EngineEntry) -> bool:
+        row = self.directory.rows.get(engine.engine)
+        return row is not None and not row.leaving and row.address == engine.address
+
+    def _pair(self, *, record: Record) -> Pairing | None:
+        engines = self.engines(service=record.service)
+        well = [engine for engine in engines if not self.verdicts.failing(engine=engine.engine)]
+        writers = [engine for engine in well if engine.phase != "prefill" and engine.engine not in record.avoid]
+        if not writers:
+            # Nothing better is known: those that were found failing are tried after all.
+            well = engines
+        if record.reads >= READS_MOST:
+            well = [engine for engine in well if engine.phase != "prefill"]
+        return self.placement.choose(service=record.service, ask=record.ask, engines=well, avoid=record.avoid)
+
+    # Reading a prompt.
+
+    def _may_read(self, *, record: Record) -> bool | None:
+        """Whether an extra send was taken for a reading; None when it may not be sent. A first reading is none if it
+        is taken up and one if it is turned away: while readings are turned away, each is taken until that is known."""
+        if record.reads == 0 and self.host.elapsed() - self.turned_at > TURNED_FOR:
+            return False
+        return True if self._take_extra(record=record, first=False) else None
+
+    def _read(self, *, record: Record, pairing: Pairing, taken: bool) -> Memory | None:
+        engine = pairing.reader
+        idle = self.work.backlog(engine=engine.engine) <= ZERO
+        began = self.host.elapsed()
+        with self.work.reading(engine=engine.engine, span=pairing.reader_span):
+            told = self.calls.read(record=record, engine=engine)
+        if isinstance(told, TurnedAway):
+            self.turned_at = self.host.elapsed()
+            if not taken:
+                self.budget.charge(service=record.service, now=self.turned_at)
+        elif taken and (record.reads == 0 or isinstance(told, Unsent)):
+            self.budget.give_back(service=record.service)
+        self.signs[engine.engine] = self.host.elapsed()
+        if isinstance(told, Memory):
+            record.reads += 1
+            span = self.host.elapsed() - began
+            tokens = self.placement.unread(engine=engine, ask=record.ask, home=True)
+            if idle:
+                self.placement.note_pace(service=record.service, tokens=tokens, span=span)
+            self._note_parts(record=record, engine=engine)
+            self.verdicts.note_success(engine=engine.engine)
+            return told
+        if not isinstance(told, Unsent):
+            record.reads += 1
+        if isinstance(told, TurnedAway):
+            record.reads = READS_MOST
+        self._judge_engine(record=record, engine=engine, told=told)
+        return None
+
+    def _note_parts(self, *, record: Record, engine: EngineEntry) -> None:
+        self.placement.note_read(service=record.service, engine=engine.engine, parts=record.ask.parts)
+
+    def _drop(self, *, memory: Memory | None) -> None:
+        if memory is not None:
+            self.to_forget.append(memory)
+
+    # A send and its answer.
+
+    def _send(self, *, record: Record, relay: Relay, send: Send) -> Iterator[bytes]:
+        """What of an engine's answer goes to the client; gives whether that brought the request to its end."""
+        engine, span = send.pairing.writer, send.pairing.writer_span
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.work.streaming(engine=engine.engine))
+            reading = contextlib.ExitStack()
+            stack.enter_context(reading)
+            if span > ZERO:
+                reading.enter_context(self.work.reading(engine=engine.engine, span=span))
+            told = stack.enter_context(
+                self.calls.run(record=record, engine=engine, memory=send.memory, last=relay.last_event)
+            )
+            if not isinstance(told, Answer):
+                self._note_failed(record=record, engine=engine, told=told, memory=send.memory)
+                return False
+            record.note_send(state=told.state)
+            if span > ZERO or send.memory is not None:
+                # Memory that was moved there is kept there as well.
+                self._note_parts(record=record, engine=engine)
+            if relay.take_head(told=told) is Step.LEAVE_OUT:
+                why = f"resumption ended with {told.status}"
+                self._note_broken(record=record, engine=engine, why=why, fault=told.is_engine_failure)
+                return False
+            return (yield from self._give(record=record, relay=relay, engine=engine, told=told, reading=reading))
+
+    def _give(
+        self, *, record: Record, relay: Relay, engine: EngineEntry, told: Answer, reading: contextlib.ExitStack
+    ) -> Iterator[bytes]:
+        """The pieces of an answer that the client gets; gives whether it came to its end. `reading` ends with its first
+        piece."""
+        try:
+            for given in relay.pieces(told=told):
+                reading.close()
+                record.since = self.signs[engine.engine] = self.host.elapsed()
+                record.begun, record.bound = relay.begun, relay.bound
+                if given:
+                    yield given
+        except WIRE_ERRORS as error:
+            told.whole = False
+            why = record.why or f"{type(error).__name__}: {error}"
+            self._note_broken(record=record, engine=engine, why=why, fault=True)
+            return False
+        if not told.is_engine_failure:
+            self.verdicts.note_success(engine=engine.engine)
+        return True
+
+    def _note_broken(self, *, record: Record, engine: EngineEntry, why: str, fault: bool) -> None:
+        """An answer brought the request to no end; `fault` says that this speaks against the engine."""
+        record.why = why
+        record.avoid.add(engine.engine)
+        if fault and not self._over(record=record):
+            self.verdicts.note_failure(engine=engine.engine, why=why)
+
+    def _note_failed(
+        self, *, record: Record, engine: EngineEntry, told: Unsent | TurnedAway | Broken, memory: Memory | None
+    ) -> None:  # fmt: skip
+        self._judge_engine(record=record, engine=engine, told=told)
+        record.note_send(state=told.state)
+        if not told.state.may_have_run:
+            self._drop(memory=memory)
+
+    def _judge_engine(self, *, record: Record, engine: EngineEntry, told: Unsent | TurnedAway | Broken) -> None:
+        record.avoid.add(engine.engine)
+        if isinstance(told, Unsent):
+            record.unreached.add(engine.engine)
+        record.why = told.why
+        if isinstance(told, TurnedAway) and not told.other_engine:
+            return
+        if not self._over(record=record):
+            self.verdicts.note_failure(engine=engine.engine, why=told.why)
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -18,6 +18,7 @@
 from dockmux.ferry.budget import Budget
 from dockmux.ferry.calls import Calls
 from dockmux.ferry.connections import Connections
+from dockmux.ferry.course import Course
 from dockmux.ferry.deployment import Deployment
 from dockmux.ferry.dialect import Dialect, EngineEntry
 from dockmux.ferry.directory import Directory
@@ -82,10 +83,14 @@
             self.budget = Budget(deployment=deployment, born=host.elapsed())
             self.placement = Placement(host=host, zone=settings.site, work=self.work)
             self.calls = Calls(host=host, dialect=self.dialect, connections=connections)
+            self.course = Course(
+                host=host, dialect=self.dialect, directory=self.directory, calls=self.calls, work=self.work,
+                placement=self.placement, verdicts=self.verdicts, budget=self.budget, clock=self.gossip.clock,
+                daemons=self.daemons,
+            )  # fmt: skip
             self.table = Table(
-                host=host, dialect=self.dialect, tracker=self.tracker, directory=self.directory, calls=self.calls,
-                work=self.work, placement=self.placement, verdicts=self.verdicts, budget=self.budget,
-                clock=self.gossip.clock, daemons=self.daemons,
+                host=host, dialect=self.dialect, tracker=self.tracker, directory=self.directory, course=self.course,
+                verdicts=self.verdicts, budget=self.budget,
             )  # fmt: skip
             self.gossip.keeps_works = True
             self.fetching = False
@@ -201,7 +206,7 @@
         self.gossip.summaries.clear()
         moving, self.gossip.moving[:] = list(self.gossip.moving), []
         for arrived, message in moving:
-            self.table.moving[message.engine] = (message.phase, arrived + ms(message.left_ms))
+            self.course.moving[message.engine] = (message.phase, arrived + ms(message.left_ms))
         heard, self.gossip.works[:] = list(self.gossip.works), []
         for arrived, summary in heard:
             name = summary.sender.name
@@ -284,6 +289,6 @@
             self.looking.discard(engine.engine)
 
     def _forget_memory(self) -> None:
-        dropped, self.table.to_forget[:] = list(self.table.to_forget), []
+        dropped, self.course.to_forget[:] = list(self.course.to_forget), []
         for memory in dropped:
             self.crew.start(task=self.calls.forget, memory=memory)
--- a/tests/answers_test.py
+++ b/tests/answers_test.py
@@ -4,7 +4,7 @@
 
 from dockmux.accord.span import ms
 from dockmux.ferry.calls import Calls
-from dockmux.ferry.table import Table
+from dockmux.ferry.course import Course
 from tests.standins.client import Seen
 from tests.standins.fleet import Fleet, fleet
 
@@ -41,13 +41,13 @@
 
 
 def test_without_its_bar_a_request_would_be_run_twice(monkeypatch):
-    barred = Table._barred
+    barred = Course._barred
 
     def forgetful(self, *, record, bound):
         record.ran = False
         return barred(self, record=record, bound=bound)
 
-    monkeypatch.setattr(Table, "_barred", forgetful)
+    monkeypatch.setattr(Course, "_barred", forgetful)
     with fleet(seed=11) as made:
         tries = _each(made=made, path="/write/d", kind="break off early", left=1, count=3)
         assert any("ran 2 times" in text for text in made.wrong(tries=tries))
