--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -111,7 +111,20 @@
         for_s = 0.0 if kind is TroubleKind.LINK_RESET else source.uniform(0.5, 3.5)
         at = source.uniform(1, seconds - QUIET_END_S)
         steps.append(Step(at=at, kind=kind, role="engine", place=source.randrange(count), for_s=for_s, how=how))
+    for _ in range(max(2, round(seconds / 7))):
+        steps += _crash_beside_grey(source=source, seconds=seconds, count=count)
     if source.random() < 0.4:
         at, for_s = source.uniform(2, seconds * 0.7), source.uniform(1, 4)
         steps.append(Step(at=at, kind=TroubleKind.LIST_DOWN, role="list", place=0, for_s=for_s))
     return steps
+
+
+def _crash_beside_grey(*, source: random.Random, seconds: float, count: int) -> list[Step]:
+    """One engine fails a part of its requests while another one ends: what was there is taken up at the first."""
+    grey, crashing = source.sample(range(count), 2) if count > 1 else (0, 0)
+    at = source.uniform(1, max(seconds - QUIET_END_S - 4, 2))
+    how = source.choice(GREY_KINDS)
+    return [
+        Step(at=at, kind=TroubleKind.ENGINE_GREY, role="engine", place=grey, for_s=3.5, how=how),
+        Step(at=at + 0.5, kind=TroubleKind.ENGINE_CRASH, role="engine", place=crashing, for_s=1.5),
+    ]
