--- a/dockmux/accord/served_connections.py
+++ b/dockmux/accord/served_connections.py
@@ -96,6 +96,8 @@
 
     def _read_request_line(self) -> bytes | str:
         limits = self.connections.limits
+        # What clients that ask for it are told in `Keep-Alive`.
+        self.server.keepalive = limits.idle.total_seconds()
         self.connection.settimeout(limits.idle.total_seconds())
         try:
             line = self.rfile.readline(limits.size_bytes)
--- a/tests/http_server_test.py
+++ b/tests/http_server_test.py
@@ -88,3 +88,8 @@
             assert not idle.readable() and slow.readable()
             made.sleep(seconds=1.5)
             assert idle.readable()
+        asked = data.replace(b"X-Model: m", b"Connection: keep-alive\r\nX-Model: m", 1)
+        with made.outside.connect(address=made.edges[0], wait=SECOND) as stream:
+            stream.sendall(asked)
+            made.sleep(seconds=1)
+            assert b"\r\nKeep-Alive: timeout=4\r\n" in stream.recv(65536)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -15,6 +15,8 @@
 MEMORY_SLOPE_KB_A_S = 512
 DESCRIPTOR_SLOPE_A_S = 5.0
 SAMPLES_FEWEST = 20
+# As the stand-in engines make them.
+EVENT_PAUSE_S = 0.03
 READY_EVERY_S = 1.0
 
 
@@ -134,6 +136,22 @@
                 yield Breach(rule="LOST", what=reason, request_id=row.request_id)
 
 
+def closed_unanswered(seen: Evidence) -> Iterator[Breach]:
+    """LOST at any time: requests from kept connections that a sound engine had, and no answer."""
+    rows = []
+    for row in seen.history.tries:
+        runs = seen.runs(request_id=row.request_id)
+        if not row.kept or not runs or row.status or row.left_at or not row.ended_at:
+            continue
+        troubled = seen.unplanned(targets={run.engine for run in runs}, begin=row.sent_at, end=row.ended_at)
+        timely = row.ended_at < row.sent_at + row.deadline_s
+        if timely and not troubled and seen.in_touch(process=row.edge, at=row.ended_at):
+            rows.append(row)
+    if len(rows) > A_FEW:
+        what = f"{len(rows)} kept connections closed without an answer"
+        yield Breach(rule="LOST", what=what, request_id=rows[0].request_id)
+
+
 def _lost(*, seen: Evidence, row: Try, term: Trouble) -> str:
     bounds = seen.history.bounds
     runs = seen.runs(request_id=row.request_id)
@@ -180,6 +198,24 @@
         yield Breach(rule="GONE", what=what, request_id=late[0].request_id)
 
 
+def worked_on(seen: Evidence) -> Iterator[Breach]:
+    """GONE: engines that are still at work on streams whose clients have left."""
+    lasting, at_work = 0, []
+    for row in seen.history.tries:
+        if not row.left_at or not row.kind.is_stream or not seen.in_touch(process=row.edge, at=row.left_at + 1):
+            continue
+        for run in seen.runs(request_id=row.request_id):
+            would_end = run.at + (row.events - run.last_event) * EVENT_PAUSE_S
+            if run.at > row.left_at or would_end < row.left_at + 2 * AFTER_CLOSE_S:
+                continue
+            lasting += 1
+            if not run.ended_at or run.ended_at > row.left_at + AFTER_CLOSE_S:
+                at_work.append(row.request_id)
+    if len(at_work) > max(A_FEW, lasting / 4):
+        what = f"engines at work {AFTER_CLOSE_S} s after their clients left: {len(at_work)} of {lasting}"
+        yield Breach(rule="GONE", what=what, request_id=at_work[0])
+
+
 def budget(seen: Evidence) -> Iterator[Breach]:
     bounds = seen.history.bounds
     extras: dict[str, list[float]] = defaultdict(list)
@@ -333,7 +369,9 @@
 RULES: tuple[Callable[[Evidence], Iterator[Breach]], ...] = (
     mixed, order, unasked, twice, refused, lost, budget, route, config, again_refused, processes,
 )  # fmt: skip
-TIMED_RULES: tuple[Callable[[Evidence], Iterator[Breach]], ...] = (drain, gone, acks, one, starts)
+TIMED_RULES: tuple[Callable[[Evidence], Iterator[Breach]], ...] = (
+    drain, gone, worked_on, closed_unanswered, acks, one, starts,
+)  # fmt: skip
 """Whose bounds a machine that is busy with other work can break by itself."""
 
 
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -151,6 +151,24 @@
     assert "GONE" in rules(planted=history(tries=tries, arrivals=arrivals))
 
 
+def test_gone_where_engines_work_on():
+    tries, arrivals = many(count=8, left_at=20.5, whole=False, events=100)
+    for row, place in zip(tries, range(0, 16, 2), strict=True):
+        row.kind, row.expected, row.body, row.status = Kind.STREAM, b"", b"", 0
+        arrivals[place].ended_at = 22.0
+    alone = arrivals[::2]
+    assert rules(planted=history(tries=tries, arrivals=alone)) == {"GONE"}
+    for run in alone:
+        run.ended_at = 20.8
+    assert rules(planted=history(tries=tries, arrivals=alone)) == set()
+
+
+def test_lost_at_kept_connections():
+    tries, arrivals = many(count=5, kept=True, whole=False, status=0)
+    assert rules(planted=history(tries=tries, arrivals=arrivals[::2])) == {"LOST"}
+    assert rules(planted=history(tries=tries[:3], arrivals=arrivals[:6:2])) == set()
+
+
 def test_budget():
     tries, arrivals = many(count=120)
     assert rules(planted=history(tries=tries, arrivals=arrivals)) == {"BUDGET"}
