--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -189,7 +189,8 @@
             for name in list(self.wanted):
                 process = self.processes[name]
                 code = process.poll()
-                if code is None:
+                if code is None or name not in self.wanted:
+                    # It may have been replaced while another one was being started.
                     continue
                 life = self.lives[name]
                 life.ended_at, life.code = self.now(), code
