Soak: a second SIGTERM while the first is being heeded begins no new grace time

Trace: the daemon had been told to stop 6.33 s earlier as well; the stream was sent 1.13 s after that first SIGTERM and cut 7.42 s after it, its engine at work. The judge counted from the second signal to the same process. It is narrowed to the first, with this history as its test.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -124,7 +124,13 @@
 def lost(seen: Evidence) -> Iterator[Breach]:
     """Around a SIGTERM of the machine that took the request."""
     bounds = seen.history.bounds
-    terms = [row for row in seen.history.troubles if row.kind is TroubleKind.TERM and row.target.startswith("edge")]
+    told = [row for row in seen.history.troubles if row.kind is TroubleKind.TERM and row.target.startswith("edge")]
+    # A process that is told to stop once more goes by the first time.
+    terms = [
+        row
+        for row in told
+        if not any(other.target == row.target and other.at < row.at <= other.until for other in told)
+    ]
     for row in seen.history.tries:
         if row.whole or row.left_at or not row.sent_whole_at or not row.ended_at:
             continue
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -138,6 +138,17 @@
         assert rules(planted=troubled) == set()
 
 
+def test_a_second_sigterm_while_the_first_is_heeded_begins_nothing():
+    """As in seed 38: sent 1.1 s after the first, cut at the end of the grace time, 1.1 s after the second."""
+    played = cut_after_term()
+    played.tries[0].sent_at = 21.1
+    assert rules(planted=played) == set()
+    played.troubles.append(trouble(kind=TroubleKind.TERM, target=EDGE, at=26.2, for_s=1.1))
+    assert rules(planted=played) == set()
+    played.tries[0].sent_at = 24.0
+    assert rules(planted=played) == {"LOST"}
+
+
 def test_drain():
     leaves = [trouble(kind=TroubleKind.ENGINE_LEAVES, target=ENGINE, at=10.0)]
     late = history(tries=[request(sent_at=20.0)], troubles=leaves)
