Stopping: the log tells how long after the signal a process ends, and what is open

Step 2 of the incident: a process that heeds SIGTERM late, or reaches its limit with requests open, could not be told from one that ended in order.

--- a/dockmux/accord/catalogue.py
+++ b/dockmux/accord/catalogue.py
@@ -9,7 +9,12 @@
 
     STARTED = (1001, "info", "started {role} {name} at {address}", "Nothing.")
     STOPPING = (1002, "info", "stopping, {open} requests open", "Nothing; it ends when they do.")
-    STOPPED = (1003, "info", "stopped", "Nothing.")
+    STOPPED = (
+        1003,
+        "info",
+        "stopped {afterMs} ms after the signal, {open} requests open",
+        "Requests that were open are cut: look at what kept them.",
+    )
     TASK_FAILED = (1004, "error", "task {task} failed: {error}", "Report it; the task was begun again.")
     BAD_FRAME = (
         1005,
--- a/dockmux/accord/daemon.py
+++ b/dockmux/accord/daemon.py
@@ -61,10 +61,10 @@
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(python_logging.Formatter(FORMAT))
     logging.set_verbosity(LEVELS[settings.log_level.value])
-    asked: list[int] = []
+    asked: list[timedelta] = []
 
-    def note(number: int, _: object) -> None:
-        asked.append(number)
+    def note(_number: int, _: object) -> None:
+        asked.append(host.elapsed())
 
     hangups = [] if changed is None else changed
 
@@ -84,9 +84,10 @@
             limit = host.elapsed() + timedelta(milliseconds=settings.drainMs)
             open_count = daemon.drain()
             host.log(Note.STOPPING, open=open_count)
-            while daemon.drain() and host.elapsed() < limit:
+            while open_count and host.elapsed() < limit:
                 _wait(host=host, wait=STEP)
-            host.log(Note.STOPPED)
+                open_count = daemon.drain()
+            host.log(Note.STOPPED, afterMs=to_ms(host.elapsed() - asked[0]), open=open_count)
             logging.flush()
             # Streams of user agents that never end would hold up an orderly unwinding.
             os._exit(0)
