Clients that have left are found by looking at their connections (GONE)

What callers saw: nothing; engines and other clients did. Work went on, and prompts that had been read were sent on to be run, for clients that had left. Cause: the end of a client's connection was found only by writing to it. While a request waits for an engine nothing is written, so it went on to its deadline. Class: an abandoned wait that nobody cancels. Ruled out: streams under way (the next event's write fails and ends them). What breaks off so is not held against the engine. /metrics counts them (client_left). The control in cut_requests_test sent its whole request and then closed its sending side, and the connection 20 ms later: by the rule it has left. It now stays, and its answer is looked at as well.

--- a/dockmux/accord/host.py
+++ b/dockmux/accord/host.py
@@ -3,8 +3,9 @@
 import contextlib
 import os
 import random
+import select
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any
@@ -13,11 +14,14 @@
 from absl import logging
 from eventlet import tpool
 from eventlet.green import socket
+from eventlet.greenio import GreenSocket
 from urllib3.util.wait import wait_for_read
 
 from dockmux.accord.catalogue import Note
 from dockmux.accord.file_calls import FileCalls
 
+# Of a connection whose other side has closed or reset it, whatever is still to be read.
+POLL_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
 
@@ -26,6 +30,14 @@
     return ip, int(port)
 
 
+def _is_at_end(*, sock: GreenSocket) -> bool:
+    """Of a connection that can be read: whether its end is all that is there."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
 @contextlib.contextmanager
 def within(*, wait: timedelta) -> Iterator[None]:
     """Bounds everything inside it; TimeoutError when the time is up."""
@@ -138,6 +150,19 @@
         """Whether a read would return at once: data, or the end."""
         return wait_for_read(sock, timeout=0)
 
+    def closed(self, *, socks: Collection[GreenSocket]) -> set[GreenSocket]:
+        """Those whose other side has closed or reset the connection; never waits and takes nothing off them."""
+        by_descriptor = {sock.fileno(): sock for sock in socks}
+        poll = select.poll()
+        for descriptor in by_descriptor:
+            if descriptor >= 0:
+                poll.register(descriptor, select.POLLIN | POLL_CLOSED)
+        return {
+            by_descriptor[descriptor]
+            for descriptor, events in poll.poll(0)
+            if events & POLL_CLOSED or _is_at_end(sock=by_descriptor[descriptor])
+        }
+
     def listen(self, *, address: str) -> Any:
         return eventlet.listen(split_address(address=address), backlog=512, reuse_port=False)
 
--- a/dockmux/accord/kinds.py
+++ b/dockmux/accord/kinds.py
@@ -29,6 +29,7 @@
     FAILED = "failed"
     UNKNOWN = "unknown"
     CHANGED = "changed"
+    CLIENT_LEFT = "client_left"
     # Operators.
     MARK_MISSING = "mark_missing"
     MARK_OUTDATED = "mark_outdated"
@@ -67,6 +68,7 @@
     Kind.FAILED: Answer(status=502, refusal=False, retry=True),
     Kind.UNKNOWN: Answer(status=504, refusal=False, retry=True),
     Kind.CHANGED: Answer(status=409, refusal=False, retry=True),
+    Kind.CLIENT_LEFT: Answer(status=504, refusal=False, retry=False),
     Kind.MARK_MISSING: Answer(status=428, refusal=True, retry=False),
     Kind.MARK_OUTDATED: Answer(status=412, refusal=True, retry=False),
     Kind.INVALID: Answer(status=422, refusal=True, retry=False),
--- a/dockmux/accord/web.py
+++ b/dockmux/accord/web.py
@@ -75,6 +75,11 @@
     def header(self, *, name: str) -> str:
         return self.environ.get("HTTP_" + name.upper().replace("-", "_"), "")
 
+    @property
+    def connection(self) -> Any:
+        """The socket on which the request came."""
+        return self.environ[CONNECTION_KEY].connection
+
     @property
     def content_type(self) -> str:
         return (self.environ.get("CONTENT_TYPE") or "").partition(";")[0].strip().lower()
--- a/dockmux/ferry/course.py
+++ b/dockmux/ferry/course.py
@@ -15,7 +15,7 @@
 from dockmux.ferry.dialect import Dialect, EngineEntry, Memory
 from dockmux.ferry.directory import Directory
 from dockmux.ferry.placement import Pairing, Placement
-from dockmux.ferry.record import Record
+from dockmux.ferry.record import Record, note_left
 from dockmux.ferry.relay import Relay, Step
 from dockmux.ferry.routes import RunRule
 from dockmux.ferry.send_state import Broken, TurnedAway, Unsent
@@ -95,6 +95,8 @@
     def _barred(self, *, record: Record, bound: bool) -> Ending | None:
         """Why the request goes to no engine any more, if so. `bound` says that the client has a part of an answer that
         no other engine can go on with."""
+        if self._has_left(record=record):
+            return Ending(kind=Kind.CLIENT_LEFT, why="its client has left")
         if record.ran and not record.route.repeatable:
             return Ending(kind=Kind.FAILED, why=record.why or "the engine broke off")
         if record.ran and bound:
@@ -124,7 +126,7 @@
                 record.reads = READS_MOST
                 return None
             memory = self._read(record=record, pairing=pairing, taken=taken)
-            if memory is None or not self._usable(engine=pairing.writer):
+            if memory is None or not self._usable(engine=pairing.writer) or self._has_left(record=record):
                 self._drop(memory=memory)
                 return None
         if not self._take_extra(record=record, first=record.sends == 0):
@@ -142,6 +144,15 @@
     def _over(self, *, record: Record) -> bool:
         return self.host.elapsed() >= record.ends_at()
 
+    def _has_left(self, *, record: Record) -> bool:
+        if not record.left:
+            note_left(host=self.host, records=[record])
+        return record.left
+
+    def _given_up(self, *, record: Record) -> bool:
+        """Whether nobody waits for it any more: what breaks off then says nothing of the engine."""
+        return record.left or self._over(record=record)
+
     def _take_extra(self, *, record: Record, first: bool) -> bool:
         if first:
             return True
@@ -277,7 +288,7 @@
         """An answer brought the request to no end; `fault` says that this speaks against the engine."""
         record.why = why
         record.avoid.add(engine.engine)
-        if fault and not self._over(record=record):
+        if fault and not self._given_up(record=record):
             self.verdicts.note_failure(engine=engine.engine, why=why)
 
     def _note_failed(
@@ -295,5 +306,5 @@
         record.why = told.why
         if isinstance(told, TurnedAway) and not told.other_engine:
             return
-        if not self._over(record=record):
+        if not self._given_up(record=record):
             self.verdicts.note_failure(engine=engine.engine, why=told.why)
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -178,6 +178,7 @@
             self._hear()
             self._take_limits()
             self.table.expire()
+            self.table.cancel()
             self.table.abandon()
             self._look_at_failing()
             self._forget_memory()
--- a/dockmux/ferry/record.py
+++ b/dockmux/ferry/record.py
@@ -1,8 +1,11 @@
 """One client's try, as a record in the table."""
 
 import dataclasses
+from collections.abc import Collection
 from datetime import timedelta
+from typing import Any
 
+from dockmux.accord.host import Host
 from dockmux.accord.web import HttpStream
 from dockmux.ferry.dialect import Ask
 from dockmux.ferry.routes import Route
@@ -17,7 +20,8 @@
     that last gave a sign, `wire` is the connection, and `reading` says that only its prompt is read there, which
     may be asked for again whatever the route's rule. `begun` says that the
     client has a first event: before it, it waits no longer than the route's patience, nor past `answer_by`, by when a
-    daemon that stops has to have answered; `bound` says that no other engine can go on with what the client has."""
+    daemon that stops has to have answered; `bound` says that no other engine can go on with what the client has.
+    `client` is the socket of its client, where there is one; once `left`, that has closed its connection."""
 
     key: int
     ask: Ask
@@ -42,6 +46,8 @@
     begun: bool = False
     bound: bool = False
     answer_by: timedelta = timedelta.max
+    client: Any = None
+    left: bool = False
     why: str = ""
 
     def wait_for(self, *, engine: str, wire: HttpStream, now: timedelta, reading: bool) -> None:
@@ -58,3 +64,12 @@
 
     def wait_over(self) -> None:
         self.engine, self.wire = "", None
+
+
+def note_left(*, host: Host, records: Collection[Record]) -> list[Record]:
+    """Marks the requests whose clients have closed their connections since the last look, and gives these."""
+    by_client = {record.client: record for record in records if record.client is not None and not record.left}
+    left = [by_client[sock] for sock in host.closed(socks=by_client)] if by_client else []
+    for record in left:
+        record.left = True
+    return left
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -13,7 +13,7 @@
 from dockmux.ferry.dialect import Dialect
 from dockmux.ferry.directory import Directory
 from dockmux.ferry.leaving import Leaving
-from dockmux.ferry.record import Record
+from dockmux.ferry.record import Record, note_left
 from dockmux.ferry.tracker import Tracker
 from dockmux.ferry.verdicts import Verdicts
 from dockmux.verge.tally import Concluded, Tally
@@ -76,6 +76,11 @@
                 record.why = "its time is over"
                 self._cut_loose(record=record)
 
+    def cancel(self) -> None:
+        """What clients that have left were waiting for is cut loose from its engine."""
+        for record in note_left(host=self.host, records=self.records.values()):
+            self._cut_loose(record=record)
+
     def abandon(self) -> None:
         """Readings and repeatable requests that wait at an engine which is found failing go on elsewhere."""
         now = self.host.elapsed()
@@ -126,7 +131,7 @@
         record = Record(
             key=self.last_key, ask=ask, route=route, service=route.service(request_id=ask.request_id),
             method=visit.method, target=visit.target, headers=visit.headers, body=body, began=now, until=now + hold,
-            answer_by=timedelta.max if self.leaving is None else self.leaving.answer_by,
+            answer_by=timedelta.max if self.leaving is None else self.leaving.answer_by, client=visit.connection,
         )  # fmt: skip
         self.budget.note_request(service=record.service, now=now)
         return self._course(visit=visit, record=record)
@@ -146,6 +151,10 @@
                     yield from self._end(visit=visit, ending=part)
                 else:
                     yield part
+        except GeneratorExit:
+            # The client was found to have left by writing to it.
+            self.journal.append(event=Concluded(kind=Kind.CLIENT_LEFT))
+            raise
         finally:
             del self.records[record.key]
 
--- a/dockmux/omen/world.py
+++ b/dockmux/omen/world.py
@@ -4,7 +4,7 @@
 import errno
 import random
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -198,6 +198,9 @@
     def readable(self, *, sock: SimStream) -> bool:
         return sock.readable()
 
+    def closed(self, *, socks: Collection[SimStream]) -> set[SimStream]:
+        return {sock for sock in socks if sock.ended or sock.broken}
+
     def listen(self, *, address: str) -> SimListener:
         return SimListener(host=self, address=split_address(address=address))
 
--- a/tests/cut_requests_test.py
+++ b/tests/cut_requests_test.py
@@ -42,6 +42,14 @@
     return b""
 
 
+def send_whole(*, made: Fleet, address: str, data: bytes) -> bytes:
+    """Sends the bytes, stays, and tells what came."""
+    with made.outside.connect(address=address, wait=SECOND) as stream:
+        stream.sendall(data)
+        made.sleep(seconds=1)
+        return stream.recv(65536) if stream.readable() else b""
+
+
 @pytest.mark.parametrize("half_closed", (False, True))
 @pytest.mark.parametrize("in_chunks", (False, True))
 @pytest.mark.parametrize("path", ("/write/d", "/check/c"))
@@ -63,10 +71,9 @@
         reached = [(end, data) for end, request_id, data in ids if made.record.of(request_id=request_id)]
         assert reached == [] and made.record.arrivals == [], (len(reached), reached[:1])
         request_id, data = request_bytes(made=made, path=path, body=body, in_chunks=in_chunks)
-        send_cut(made=made, address=made.edges[0], data=data, half_closed=True)
-        made.sleep(seconds=1)
+        told = send_whole(made=made, address=made.edges[0], data=data)
         (run,) = made.record.runs(request_id=request_id)
-        assert run.body == body
+        assert run.body == body and told.startswith(b"HTTP/1.1 200 ")
         assert made.daemons["edge-0"].served.busy == 0
         made.sound()
 
--- a/tests/departed_clients_test.py
+++ b/tests/departed_clients_test.py
@@ -157,3 +157,20 @@
                 data += piece
         assert first.answer() in data and second.answer() in data
         made.sound()
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_who_closes_its_sending_side_is_taken_to_have_left(path):
+    """A closed connection cannot be told from one on which the client only sends no more: neither is worked for."""
+    with fleet(seed=88, phases="d") as made:
+        slow_down(made=made)
+        request = made.request(path=path, tokens_out=0 if path in PLAIN else 40)
+        with made.outside.connect(address=made.edges[0], wait=SECOND) as stream:
+            stream.sendall(request.wire())
+            made.sleep(seconds=0.1)
+            stream.shutdown(1)
+            made.sleep(seconds=AFTER_LEAVING / SECOND)
+            assert stream.recv(65536).startswith(b"HTTP/1.1 504 ")
+        (row,) = made.record.of(request_id=request.request_id)
+        assert row.abandoned
+        made.sound()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -64,6 +64,11 @@
         """Whether whoever sent it has closed its connection since, upon which an engine drops it."""
         return self.stream is not None and (self.stream.ended or self.stream.broken)
 
+    def check_sender(self) -> None:
+        """An OSError, which ends the work on it, once its sender has closed the connection."""
+        if self.abandoned:
+            raise OSError("its sender has left")
+
     @property
     def turned_away(self) -> bool:
         return self.what in TURNED_AWAY
@@ -179,7 +184,7 @@
         bisect.insort(self.waiting, turn)
         try:
             while self.busy or self.waiting[0] != turn:
-                self._check(row=row)
+                row.check_sender()
                 self.host.sleep(wait=ms(2))
         finally:
             self.waiting.remove(turn)
@@ -187,15 +192,11 @@
         try:
             end = self.host.elapsed() + span
             while self.host.elapsed() < end:
-                self._check(row=row)
+                row.check_sender()
                 self.host.sleep(wait=min(ms(10), end - self.host.elapsed()))
         finally:
             self.busy = False
 
-    def _check(self, *, row: Arrival) -> None:
-        if row.abandoned:
-            raise OSError("its sender has left")
-
 
 class Engine:
     """Invariants: one life of an engine, under one id; what it ran is in the record from its first token on; while
@@ -366,10 +367,11 @@
         return int(first), int(second)
 
     def _spend(self, *, row: Arrival, span: timedelta) -> None:
-        if self.queue is None:
-            self.host.sleep(wait=span)
-        else:
+        if self.queue is not None:
             self.queue.read(row=row, span=span)
+            return
+        self.host.sleep(wait=span)
+        row.check_sender()
 
     def _read(self, *, visit: Visit, row: Arrival) -> Iterator[bytes]:
         tokens, _ = self._tokens(row=row)
