Requests that would not come to their end in time are refused before they are sent

Cause: only the first event was reckoned, and up to the whole of the client's patience. So 40 to 60 streams ran at one engine, each took 5 to 6 s instead of 1 to 2 s, and half of them were cut at their deadlines; the engine was at work all the time, on what nobody got. Class: congestion collapse for want of admission control. Ruled out: too few engines (as many tokens a second came with 20 streams as with 50), the control side (the collapse came 24 s before the fault). Why this works: the end of the stream is reckoned as well, from the pace that streams were seen to have at their engine's load, and what lies before a request counts twice. What is refused learns when to come back, at most a third of its time.

--- a/dockmux/ferry/course.py
+++ b/dockmux/ferry/course.py
@@ -10,6 +10,7 @@
 from dockmux.accord.kinds import Kind
 from dockmux.accord.span import ZERO
 from dockmux.accord.web import Visit
+from dockmux.ferry.admission import Admission
 from dockmux.ferry.budget import Budget
 from dockmux.ferry.calls import WIRE_ERRORS, Answer, Calls
 from dockmux.ferry.dialect import Dialect, EngineEntry, Memory
@@ -27,6 +28,10 @@
 RETRY_PAUSE_MOST = timedelta(milliseconds=320)
 # Engines that are asked to read for one request, before its writer reads itself.
 READS_MOST = 2
+# When to come back where nothing was run; later where more than that lies at the engines.
+RETRY = timedelta(milliseconds=250)
+# Clients do not wait for longer than this part of the time that they have.
+RETRY_PART_MOST = 1 / 3
 # Readings count as being turned away for so long after one was.
 TURNED_FOR = timedelta(seconds=2)
 
@@ -34,11 +39,12 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ending:
     """How a request ends. Invariant: `cut` says that the client has a part of an answer that cannot be completed; else
-    ANSWERED means that it has a whole one, and any other kind is still to be told."""
+    ANSWERED means that it has a whole one, and any other kind is still to be told, and with it when to come back."""
 
     kind: Kind
     why: str = ""
     cut: bool = False
+    retry: timedelta = RETRY
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,6 +76,7 @@
         self.budget = budget
         self.clock = clock
         self.daemons = daemons
+        self.admission = Admission()
         self.to_forget: list[Memory] = []
         self.turned_at = -TURNED_FOR
         self.signs: dict[str, timedelta] = {}
@@ -113,8 +120,8 @@
         pairing = self._pair(record=record)
         if pairing is None:
             return Ending(kind=Kind.NO_ENGINE, why="no engine can be used")
-        if not record.ran and self.host.elapsed() + pairing.expected > record.ends_at():
-            return Ending(kind=Kind.BUSY, why="it would not be answered in time")
+        if not record.ran and (busy := self._too_busy(record=record, pairing=pairing)) is not None:
+            return busy
         if pairing.names(engines=record.unreached):
             self._pause_before_retry(record=record)
             if self._over(record=record):
@@ -134,6 +141,16 @@
             return Ending(kind=Kind.BUSY, why="no extra send is left")
         return Send(pairing=pairing, memory=memory)
 
+    def _too_busy(self, *, record: Record, pairing: Pairing) -> Ending | None:
+        """The refusal of a request that would not come to its end in time."""
+        now = self.host.elapsed()
+        streams = self.work.streams(engine=pairing.writer.engine)
+        excess = self.admission.excess(record=record, pairing=pairing, streams=streams, now=now)
+        if excess <= ZERO:
+            return None
+        retry = max(min(excess, (record.until - now) * RETRY_PART_MOST), RETRY)
+        return Ending(kind=Kind.BUSY, why="it would not be answered in time", retry=retry)
+
     def _pause_before_retry(self, *, record: Record) -> None:
         """One that refuses connections does so at once, and would be tried thousands of times a second."""
         pause = min(RETRY_PAUSE * 2**record.pauses, RETRY_PAUSE_MOST)
@@ -268,22 +285,36 @@
     ) -> Iterator[bytes]:
         """The pieces of an answer that the client gets; gives whether it came to its end. `reading` ends with its first
         piece."""
+        first_at: timedelta | None = None
         try:
             for given in relay.pieces(told=told):
                 reading.close()
+                first_at = first_at or self.host.elapsed()
                 record.since = self.signs[engine.engine] = self.host.elapsed()
                 record.begun, record.bound = relay.begun, relay.bound
                 if given:
                     yield given
         except WIRE_ERRORS as error:
             told.whole = False
+            if self._over(record=record):
+                self._note_stream(record=record, engine=engine, first_at=first_at, whole=False)
             why = record.why or f"{type(error).__name__}: {error}"
             self._note_broken(record=record, engine=engine, why=why, fault=True)
             return False
         if not told.is_engine_failure:
             self.verdicts.note_success(engine=engine.engine)
+            self._note_stream(record=record, engine=engine, first_at=first_at, whole=True)
         return True
 
+    def _note_stream(
+        self, *, record: Record, engine: EngineEntry, first_at: timedelta | None, whole: bool
+    ) -> None:  # fmt: skip
+        if first_at is None or not record.route.stream or record.ask.last_event is not None:
+            return
+        streams = self.work.streams(engine=engine.engine)
+        span = self.host.elapsed() - first_at
+        self.admission.note_stream(record=record, span=span, streams=streams, slots=engine.slots, whole=whole)
+
     def _note_broken(self, *, record: Record, engine: EngineEntry, why: str, fault: bool) -> None:
         """An answer brought the request to no end; `fault` says that this speaks against the engine."""
         record.why = why
--- a/dockmux/ferry/placement.py
+++ b/dockmux/ferry/placement.py
@@ -36,13 +36,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Pairing:
-    """Who reads and who writes; without a reader, the writer reads the prompt itself."""
+    """Who reads and who writes; without a reader, the writer reads the prompt itself. `expected` is when the first
+    token comes, from now on; `wait` is the part of it for which others' prompts are read."""
 
     reader: EngineEntry | None
     reader_span: timedelta
     writer: EngineEntry
     writer_span: timedelta
     expected: timedelta
+    wait: timedelta = ZERO
 
     def names(self, *, engines: set[str]) -> bool:
         """Whether any of these engines has a part in it."""
@@ -147,7 +149,10 @@
             service=service, ask=ask, engines=writers, slower=DIRECT_SLOWER, homes=alone
         )
         expected = ready + FIRST_TOKEN
-        pairing = Pairing(reader=None, reader_span=ZERO, writer=engine, writer_span=span, expected=expected)
+        pairing = Pairing(
+            reader=None, reader_span=ZERO, writer=engine, writer_span=span, expected=expected,
+            wait=self.work.backlog(engine=engine.engine),
+        )  # fmt: skip
         streams = self.work.streams(engine=engine.engine)
         least = min(self.work.streams(engine=writer.engine) for writer in writers)
         crowded = PER_STREAM_TOKEN * ask.tokens_out * (streams - least)
@@ -159,7 +164,10 @@
         ready, span, reader = self._reading(service=service, ask=ask, engines=readers, slower=1.0, homes=True)
         writer = self.writer(ask=ask, writers=writers, near=reader.zone)
         expected = ready + HAND_OVER + FIRST_TOKEN
-        pairing = Pairing(reader=reader, reader_span=span, writer=writer, writer_span=ZERO, expected=expected)
+        pairing = Pairing(
+            reader=reader, reader_span=span, writer=writer, writer_span=ZERO, expected=expected,
+            wait=self.work.backlog(engine=reader.engine),
+        )  # fmt: skip
         return expected + MOVED * ask.tokens_in, pairing
 
     def writer(self, *, ask: Ask, writers: list[EngineEntry], near: str) -> EngineEntry:
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -6,10 +6,10 @@
 from dockmux.accord.host import Host
 from dockmux.accord.journal import Journal
 from dockmux.accord.kinds import Kind, Outcome
-from dockmux.accord.span import ZERO
+from dockmux.accord.span import ZERO, to_ms
 from dockmux.accord.web import Visit
 from dockmux.ferry.budget import Budget
-from dockmux.ferry.course import Course, Ending
+from dockmux.ferry.course import RETRY, Course, Ending
 from dockmux.ferry.dialect import Dialect
 from dockmux.ferry.directory import Directory
 from dockmux.ferry.leaving import Leaving
@@ -21,8 +21,6 @@
 HOLD_DEFAULT = timedelta(seconds=30)
 # A repeatable request is taken from an engine that others find failing once it has been silent for so long.
 SILENT = timedelta(milliseconds=700)
-# When to come back where nothing was run.
-RETRY_MS = 250
 # An engine that has given no sign for so long is asked whether it is well.
 QUIET = timedelta(milliseconds=1500)
 
@@ -136,9 +134,9 @@
         self.budget.note_request(service=record.service, now=now)
         return self._course(visit=visit, record=record)
 
-    def _refuse(self, *, visit: Visit, kind: Kind, why: str, retry_ms: int = RETRY_MS) -> list[bytes]:
+    def _refuse(self, *, visit: Visit, kind: Kind, why: str) -> list[bytes]:
         self.journal.append(event=Concluded(kind=kind))
-        outcome = Outcome(kind=kind, detail={"why": why}, retryMs=retry_ms)
+        outcome = Outcome(kind=kind, detail={"why": why}, retryMs=to_ms(RETRY))
         return visit.conclude(outcome=outcome, fractions=True)
 
     # From admission to the end.
@@ -165,5 +163,5 @@
             return []
         if ending.cut:
             raise CutAnswer(ending.why)
-        outcome = Outcome(kind=ending.kind, detail={"why": ending.why}, retryMs=RETRY_MS)
+        outcome = Outcome(kind=ending.kind, detail={"why": ending.why}, retryMs=to_ms(ending.retry))
         return visit.conclude(outcome=outcome, fractions=True)
