--- a/dockmux/ferry/work.py
+++ b/dockmux/ferry/work.py
@@ -2,7 +2,8 @@
 
 import contextlib
 import dataclasses
-from collections.abc import Iterator
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from typing import Any
 
@@ -22,13 +23,24 @@
     to_read: timedelta = ZERO
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ToldLoad:
+    """One engine's open work from another daemon, as it told at a time."""
+
+    at: timedelta
+    to_read: timedelta
+    streams: int
+
+
 class Work:
-    """Invariant: `told` holds each other daemon's last word and when it was heard; it is used for a short while."""
+    """Invariants: `told` holds, by engine and daemon, the last word of each other daemon, used for a short while;
+    `named` has the engines of each daemon's last word: most daemons have work at few engines."""
 
     def __init__(self, *, host: Host) -> None:
         self.host = host
         self.own: dict[str, Load] = {}
-        self.told: dict[str, tuple[timedelta, dict[str, list[int]]]] = {}
+        self.told: dict[str, dict[str, ToldLoad]] = defaultdict(dict)
+        self.named: dict[str, list[str]] = {}
 
     @contextlib.contextmanager
     def reading(self, *, engine: str, span: timedelta) -> Iterator[None]:
@@ -63,23 +75,40 @@
         now = self.host.elapsed()
         load = self.own.get(engine)
         total = load.to_read if load is not None else ZERO
-        for at, rows in self.told.values():
-            if engine in rows and now - at < TOLD_FOR:
-                # Part of it was read since; how much is not known before the next word.
-                total += max(ms(rows[engine][0]) - (now - at) / 2, ZERO)
+        for row in self._fresh(engine=engine, now=now):
+            # Part of it was read since; how much is not known before the next word.
+            left = row.to_read - (now - row.at) / 2
+            if left > ZERO:
+                total += left
         return total
 
     def streams(self, *, engine: str) -> int:
-        now = self.host.elapsed()
         load = self.own.get(engine)
         count = load.streams if load is not None else 0
-        return count + sum(rows[engine][1] for at, rows in self.told.values() if engine in rows and now - at < TOLD_FOR)
+        return count + sum(row.streams for row in self._fresh(engine=engine, now=self.host.elapsed()))
+
+    def _fresh(self, *, engine: str, now: timedelta) -> Iterable[ToldLoad]:
+        rows = self.told.get(engine)
+        return [row for row in rows.values() if now - row.at < TOLD_FOR] if rows else ()
 
     def summary(self) -> dict[str, list[int]]:
         return {engine: [to_ms(load.to_read), load.streams] for engine, load in self.own.items()}
 
     def hear(self, *, daemon: str, works: dict[str, Any]) -> None:
-        self.told[daemon] = (self.host.elapsed(), works)
+        """Another daemon's word: by engine, the ms to be read there and the streams; it replaces the one before."""
+        now = self.host.elapsed()
+        self._drop(daemon=daemon)
+        self.named[daemon] = list(works)
+        for engine, (to_read_ms, streams) in works.items():
+            self.told[engine][daemon] = ToldLoad(at=now, to_read=ms(to_read_ms), streams=streams)
 
     def forget(self, *, live: set[str]) -> None:
-        self.told = {daemon: row for daemon, row in self.told.items() if daemon in live}
+        for daemon in [daemon for daemon in self.named if daemon not in live]:
+            self._drop(daemon=daemon)
+
+    def _drop(self, *, daemon: str) -> None:
+        for engine in self.named.pop(daemon, ()):
+            rows = self.told[engine]
+            del rows[daemon]
+            if not rows:
+                del self.told[engine]
--- /dev/null
+++ b/tests/work_test.py
@@ -0,0 +1,48 @@
+"""What lies at each engine, as the other daemons told it."""
+
+from datetime import timedelta
+
+from dockmux.accord.span import ZERO, ms
+from dockmux.ferry.work import TOLD_FOR, Work
+from tests.standins.still import StillHost
+
+
+def test_each_daemons_last_word_replaces_the_one_before():
+    host = StillHost()
+    work = Work(host=host)
+    work.hear(daemon="a", works={"i-1": [400, 2], "i-2": [100, 1]})
+    work.hear(daemon="b", works={"i-1": [50, 3]})
+    assert (work.backlog(engine="i-1"), work.streams(engine="i-1")) == (ms(450), 5)
+    work.hear(daemon="a", works={"i-3": [30, 1]})
+    assert (work.backlog(engine="i-1"), work.streams(engine="i-1")) == (ms(50), 3)
+    assert (work.backlog(engine="i-2"), work.streams(engine="i-2")) == (ZERO, 0)
+    assert work.streams(engine="i-3") == 1
+
+
+def test_a_word_fades_and_lapses():
+    host = StillHost()
+    work = Work(host=host)
+    work.hear(daemon="a", works={"i-1": [400, 2]})
+    host.pass_ms(200)
+    assert work.backlog(engine="i-1") == ms(300)
+    host.pass_ms(TOLD_FOR / ms(1))
+    assert (work.backlog(engine="i-1"), work.streams(engine="i-1")) == (ZERO, 0)
+
+
+def test_daemons_that_are_gone_are_forgotten():
+    host = StillHost()
+    work = Work(host=host)
+    for daemon in ("a", "b"):
+        work.hear(daemon=daemon, works={"i-1": [100, 1]})
+    work.forget(live={"b"})
+    assert work.streams(engine="i-1") == 1
+    work.forget(live=set())
+    assert work.streams(engine="i-1") == 0 and not work.told and not work.named
+
+
+def test_own_work_counts_as_long_as_it_lasts():
+    work = Work(host=StillHost())
+    with work.reading(engine="i-1", span=ms(80)), work.streaming(engine="i-1"):
+        assert (work.backlog(engine="i-1"), work.streams(engine="i-1")) == (ms(80), 1)
+        assert work.summary() == {"i-1": [80, 1]}
+    assert work.backlog(engine="i-1") == timedelta() and work.summary() == {}
