Own interface: a stream with nothing to give looks whether its user agent is there

The same cause as in the other data plane: the end of a user agent's connection was found only by writing to it, so a request whose prompt was read or waited was kept at its engine to its horizon. Requests of lanes that run once are not ended so, as before: their claim stands.

--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -31,10 +31,16 @@
 from dockmux.verge.table import Table
 
 IDENTITY = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+# While a stream has nothing to give, so often it is looked whether its user agent is still there.
+LOOK_AT_CLIENT = timedelta(milliseconds=200)
 SWITCH_LIMIT = timedelta(milliseconds=800)
 ATTACH_LIMIT = timedelta(seconds=2)
 
 
+class UserAgentLeft(OSError):
+    """Nobody reads the stream any more."""
+
+
 class Edge:
     """Invariant: a request that is refused here has no record that could still be sent."""
 
@@ -254,7 +260,9 @@
                     given += 1
                 if record.outcome is not None:
                     break
-                record.news.wait(wait=ms(500))
+                record.news.wait(wait=LOOK_AT_CLIENT)
+                if self.host.closed(socks=[visit.connection]):
+                    raise UserAgentLeft("its user agent has closed the connection")
             if record.outcome.kind is Kind.CLAIMED:
                 yield from self._attach(visit=visit, record=record, first=first, attached=attached)
             elif not begun and record.outcome.kind is not Kind.ANSWERED:
--- /dev/null
+++ b/tests/user_agent_left_test.py
@@ -0,0 +1,35 @@
+"""User agents of the product's own interface that close their connections while they wait."""
+
+import json
+
+import pytest
+
+from dockmux.accord.span import ms
+from dockmux.omen.fleet import fleet
+from dockmux.stage.plan import load
+
+SECOND = ms(1000)
+
+
+def frozen_request(*, lane: str) -> bytes:
+    body = json.dumps({"prompt": "which track", "pieces": 5}).encode()
+    head = f"POST /lanes/{lane} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+@pytest.mark.parametrize("leaves", (True, False))
+def test_whoever_has_left_is_not_waited_for(leaves):
+    """Guards against requests that are kept at engines after their user agents have left (GONE)."""
+    with fleet(plan=load(path="fleets/mini.yaml"), seed=3) as made:
+        made.begin()
+        table = made.daemons["edge-0"].table
+        for engine in made.engines:
+            engine.host.freeze()
+        stream = made.outside.connect(address=made.plan.edges[0]["http"], wait=SECOND)
+        stream.sendall(frozen_request(lane="ask"))
+        made.outside.sleep(wait=ms(300))
+        assert table.open == 1
+        if leaves:
+            stream.close()
+        made.outside.sleep(wait=ms(500))
+        assert table.open == (0 if leaves else 1)
