--- a/dockmux/ferry/work.py
+++ b/dockmux/ferry/work.py
@@ -32,15 +32,23 @@
     streams: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Summary:
+    """When another daemon told last, and at which engines it has work."""
+
+    at: timedelta
+    engines: tuple[str, ...]
+
+
 class Work:
-    """Invariants: `told` holds, by engine and daemon, the last word of each other daemon, used for a short while;
-    `named` has the engines of each daemon's last word: most daemons have work at few engines."""
+    """Invariants: `summaries` has the last summary of each other daemon, and `told` what these say, by engine and
+    daemon: most daemons have work at few engines. They are used for a short while."""
 
     def __init__(self, *, host: Host) -> None:
         self.host = host
         self.own: dict[str, Load] = {}
         self.told: dict[str, dict[str, ToldLoad]] = defaultdict(dict)
-        self.named: dict[str, list[str]] = {}
+        self.summaries: dict[str, Summary] = {}
 
     @contextlib.contextmanager
     def reading(self, *, engine: str, span: timedelta) -> Iterator[None]:
@@ -95,19 +103,20 @@
         return {engine: [to_ms(load.to_read), load.streams] for engine, load in self.own.items()}
 
     def hear(self, *, daemon: str, works: dict[str, Any]) -> None:
-        """Another daemon's word: by engine, the ms to be read there and the streams; it replaces the one before."""
+        """Another daemon's summary, the ms to be read and the streams by engine; it replaces the one before."""
         now = self.host.elapsed()
         self._drop(daemon=daemon)
-        self.named[daemon] = list(works)
+        self.summaries[daemon] = Summary(at=now, engines=tuple(works))
         for engine, (to_read_ms, streams) in works.items():
             self.told[engine][daemon] = ToldLoad(at=now, to_read=ms(to_read_ms), streams=streams)
 
     def forget(self, *, live: set[str]) -> None:
-        for daemon in [daemon for daemon in self.named if daemon not in live]:
+        for daemon in [daemon for daemon in self.summaries if daemon not in live]:
             self._drop(daemon=daemon)
 
     def _drop(self, *, daemon: str) -> None:
-        for engine in self.named.pop(daemon, ()):
+        before = self.summaries.pop(daemon, None)
+        for engine in before.engines if before is not None else ():
             rows = self.told[engine]
             del rows[daemon]
             if not rows:
--- a/dockmux/gauge/fleet.py
+++ b/dockmux/gauge/fleet.py
@@ -270,7 +270,7 @@
             parts = {
                 "peers": [edge.peers.cards, edge.peers.heard, edge.tracker.members],
                 "engines": [edge.directory.rows],
-                "work": [edge.work.told, edge.work.own],
+                "work": [edge.work.summaries, edge.work.told, edge.work.own],
                 "configurations": [edge.tracker.config, edge.tracker.table],
             }
         return {part: deep_size(roots=roots) for part, roots in parts.items()}
@@ -280,7 +280,7 @@
         parts = []
         for edge in self.edges.values():
             now = edge.host.elapsed()
-            fresh = sum(now - at < TOLD_FOR for at, _ in edge.work.told.values())
+            fresh = sum(now - summary.at < TOLD_FOR for summary in edge.work.summaries.values())
             parts.append(fresh / max(len(self.edges) - 1, 1))
         return statistics.mean(parts)
 
--- a/tests/gauge_test.py
+++ b/tests/gauge_test.py
@@ -105,7 +105,7 @@
             assert edge.directory.digest == real[0].directory.digest
             assert edge.tracker.table.version == made.version
             assert {*edge.peers.cards, edge.settings.address} == {*real[0].peers.cards, real[0].settings.address}
-            assert set(edge.work.told) == set(made.edges) - {edge.settings.name}
+            assert set(edge.work.summaries) == set(made.edges) - {edge.settings.name}
 
 
 def test_the_same_seed_gives_the_same_figures_but_for_processor_time():
--- a/tests/work_test.py
+++ b/tests/work_test.py
@@ -37,7 +37,7 @@
     work.forget(live={"b"})
     assert work.streams(engine="i-1") == 1
     work.forget(live=set())
-    assert work.streams(engine="i-1") == 0 and not work.told and not work.named
+    assert work.streams(engine="i-1") == 0 and not work.told and not work.summaries
 
 
 def test_own_work_counts_as_long_as_it_lasts():
