--- a/dockmux/accord/types.py
+++ b/dockmux/accord/types.py
@@ -78,7 +78,7 @@
 @dataclass(frozen=True, kw_only=True)
 class UsageSummary:
     """
-    A rumour datagram.
+    A gossip datagram.
     """
     sender: PeerCard
     engines: list[EngineUsage]
--- a/dockmux/tempo/gossip.py
+++ b/dockmux/clock/gossip.py
@@ -1,4 +1,4 @@
-"""The timestamp exchanges of one daemon, over UDP; the socket is shared with rumour."""
+"""The timestamp exchanges of one daemon, over UDP; the socket is shared with the load summaries."""
 
 import dataclasses
 import random
@@ -12,9 +12,9 @@
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import UNBOUNDED, ZERO, from_instant_us, instant_us, ms, to_ms, to_us, us
 from dockmux.accord.types import ClockAsk, ClockReply, Moving, PeerCard, UsageSummary, WorkSummary
-from dockmux.tempo.clock import Clock, Sample
-from dockmux.tempo.peers import Peers
-from dockmux.tempo.rate import ONE_CYCLE, Rate
+from dockmux.clock.clock import Clock, Sample
+from dockmux.clock.peers import Peers
+from dockmux.clock.rate import ONE_CYCLE, Rate
 
 REPLY_LIMIT = timedelta(seconds=1)
 BLANK_FOR = timedelta(seconds=1)
@@ -203,7 +203,7 @@
 
 
 def test_an_exchange_during_which_another_stepped_the_clock_is_worked_out_on_one_time():
-    from dockmux.tempo.clock import _Still
+    from dockmux.clock.clock import _Still
 
     fields = {"site": "s", "http": "127.0.0.1:9", "seeds": ["127.0.0.1:2"]}
     ends = []
--- a/dockmux/tempo/peers.py
+++ b/dockmux/clock/peers.py
@@ -86,7 +86,7 @@
 
 
 def test_a_peer_expires_by_silence_and_second_hand_news_does_not_refresh_it():
-    from dockmux.tempo.clock import _Still
+    from dockmux.clock.clock import _Still
 
     host = _Still()
     host.random = random.Random(1)
--- a/dockmux/control/chain_replica.py
+++ b/dockmux/control/chain_replica.py
@@ -23,12 +23,12 @@
     WriteReply,
 )  # fmt: skip
 from dockmux.accord.wire import Caller
+from dockmux.clock.gossip import Gossip
 from dockmux.control.replica_store import ReplicaStore
 from dockmux.control.sessions import Sessions, Shared
 from dockmux.control.state import State
 from dockmux.control.version_check import judge_version
 from dockmux.control.view_agreement import ViewAgreement
-from dockmux.tempo.gossip import Gossip
 
 WRITE_LIMIT = timedelta(seconds=4)
 PUSH_LIMIT = timedelta(seconds=2)
--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -32,14 +32,14 @@
 )  # fmt: skip
 from dockmux.accord.web import Visit, serve
 from dockmux.accord.wire import Caller, Desk
+from dockmux.clock.gossip import Gossip
+from dockmux.clock.peers import Peers, members_digest
 from dockmux.control.chain_replica import ChainReplica
 from dockmux.control.engine_scheduler import EngineScheduler
 from dockmux.control.joining import Joining
 from dockmux.control.replica_store import ReplicaStore
 from dockmux.control.view_agreement import ViewAgreement
-from dockmux.rumour.spread import Spread
-from dockmux.tempo.gossip import Gossip
-from dockmux.tempo.peers import Peers, members_digest
+from dockmux.gossip.spread import Spread
 
 JOIN_PATIENCE = timedelta(seconds=3)
 HOLD_LIMIT = timedelta(seconds=1)
--- a/dockmux/control/engine_scheduler.py
+++ b/dockmux/control/engine_scheduler.py
@@ -13,7 +13,7 @@
 from dockmux.accord.links import Links
 from dockmux.accord.span import ZERO, to_us
 from dockmux.control.view_agreement import ViewAgreement
-from dockmux.rumour.usage import FRESH
+from dockmux.gossip.usage import FRESH
 
 TICK = timedelta(milliseconds=500)
 # How long after the former permit's end nobody commands an engine (rule 11).
--- a/dockmux/control/view_agreement.py
+++ b/dockmux/control/view_agreement.py
@@ -25,8 +25,8 @@
     VoteReply,
 )  # fmt: skip
 from dockmux.accord.wire import Caller
+from dockmux.clock.peers import Peers
 from dockmux.control.replica_store import ReplicaStore
-from dockmux.tempo.peers import Peers
 
 DRIFT_MARGIN = 1.02
 
--- a/dockmux/ferry/edge.py
+++ b/dockmux/ferry/edge.py
@@ -15,6 +15,8 @@
 from dockmux.accord.types import DirectoryAsk, DirectoryReply, NewsAsk, PeerCard, WorkSummary
 from dockmux.accord.web import Visit, serve
 from dockmux.accord.wire import Caller, Desk
+from dockmux.clock.gossip import Gossip
+from dockmux.clock.peers import Peers
 from dockmux.ferry.budget import Budget
 from dockmux.ferry.calls import Calls
 from dockmux.ferry.connections import Connections
@@ -28,8 +30,6 @@
 from dockmux.ferry.tracker import Tracker
 from dockmux.ferry.verdicts import Verdicts
 from dockmux.ferry.work import Work
-from dockmux.tempo.gossip import Gossip
-from dockmux.tempo.peers import Peers
 
 PASS = timedelta(milliseconds=50)
 TELL = timedelta(milliseconds=200)
--- a/dockmux/ferry/table.py
+++ b/dockmux/ferry/table.py
@@ -67,17 +67,17 @@
     # Passes.
 
     def expire(self) -> None:
-        """Whoever waits past the end of its time is cut loose from its engine, and then gets its final answer."""
+        """Calls for requests whose time is over are cancelled; their clients then get their final answers."""
         now = self.host.elapsed()
         for record in list(self.records.values()):
             if record.wire is not None and now >= record.ends_at():
                 record.why = "its time is over"
-                self._cut_loose(record=record)
+                self._cancel_call(record=record)
 
     def cancel(self) -> None:
-        """What clients that have left were waiting for is cut loose from its engine."""
+        """Calls for clients that have left are cancelled."""
         for record in note_left(host=self.host, records=self.records.values()):
-            self._cut_loose(record=record)
+            self._cancel_call(record=record)
 
     def abandon(self) -> None:
         """Readings and repeatable requests that wait at an engine which is found failing go on elsewhere."""
@@ -89,7 +89,7 @@
                 continue
             if self.verdicts.failing(engine=record.engine) or record.engine not in self.directory.rows:
                 record.why = "its engine is silent and found failing"
-                self._cut_loose(record=record)
+                self._cancel_call(record=record)
 
     def silent(self) -> set[str]:
         """Engines that keep requests waiting and have given no sign to any for long: their health is to be asked."""
@@ -100,7 +100,7 @@
             self.course.signs[engine] = now
         return {engine for engine in quiet if not self.verdicts.failing(engine=engine)}
 
-    def _cut_loose(self, *, record: Record) -> None:
+    def _cancel_call(self, *, record: Record) -> None:
         """Wakes the task that waits on the connection; it finds the connection ended."""
         if record.wire is not None:
             record.wire.cut()
--- a/dockmux/ferry/tracker.py
+++ b/dockmux/ferry/tracker.py
@@ -11,9 +11,9 @@
 from dockmux.accord.span import ms
 from dockmux.accord.types import NewsAsk, NewsReply, PeerCard
 from dockmux.accord.wire import Caller
+from dockmux.clock.gossip import Gossip
 from dockmux.ferry.dialect import Dialect
 from dockmux.ferry.routes import RouteTable
-from dockmux.tempo.gossip import Gossip
 
 HOLD_MS = 900
 ASK_LIMIT = timedelta(milliseconds=1400)
--- a/dockmux/rumour/spread.py
+++ b/dockmux/gossip/spread.py
@@ -11,8 +11,8 @@
 from dockmux.accord.settings_type import Settings
 from dockmux.accord.span import ZERO, ms
 from dockmux.accord.types import EngineUsage, UsageSummary
-from dockmux.rumour.usage import UsageTable, watchers
-from dockmux.tempo.gossip import Gossip
+from dockmux.clock.gossip import Gossip
+from dockmux.gossip.usage import UsageTable, watchers
 
 LOOK_LIMIT = timedelta(milliseconds=600)
 SPREAD_TO = 3
--- a/dockmux/rumour/usage.py
+++ b/dockmux/gossip/usage.py
@@ -59,7 +59,7 @@
 
 
 def test_a_later_look_wins_whoever_tells_it_and_an_old_one_lapses():
-    from dockmux.tempo.clock import _Still
+    from dockmux.clock.clock import _Still
 
     host = _Still()
     table = UsageTable(host=host)
--- a/dockmux/omen/rules.py
+++ b/dockmux/omen/rules.py
@@ -17,20 +17,20 @@
 from dockmux.accord.record_log import RecordLog, Unsure, parse
 from dockmux.accord.span import EPOCH, instant_us, ms
 from dockmux.accord.web import HttpStream
+from dockmux.clock.clock import Clock
+from dockmux.clock.gossip import Gossip
 from dockmux.control import engine_scheduler as scheduler
 from dockmux.control.chain_replica import ChainReplica
 from dockmux.control.engine_scheduler import Move
+from dockmux.gossip.usage import UsageTable
 from dockmux.guise.engine import Engine
 from dockmux.omen import checks
 from dockmux.omen.faults import Doer
 from dockmux.omen.fleet import SimFleet, fleet
 from dockmux.omen.truth import Told, Truth, rows_of
-from dockmux.rumour.usage import UsageTable
 from dockmux.stage.plan import Plan, build
 from dockmux.surge.agent import Seen, send
 from dockmux.surge.crowd import Crowd
-from dockmux.tempo.clock import Clock
-from dockmux.tempo.gossip import Gossip
 from dockmux.verge import edge as edge_module
 from dockmux.verge import legs as legs_module
 from dockmux.verge import record as record_module
--- a/dockmux/verge/edge.py
+++ b/dockmux/verge/edge.py
@@ -22,9 +22,9 @@
 from dockmux.accord.types import NewsAsk, PeerCard
 from dockmux.accord.web import HttpStream, Visit, serve
 from dockmux.accord.wire import Caller, Desk
-from dockmux.rumour.spread import Spread
-from dockmux.tempo.gossip import Gossip
-from dockmux.tempo.peers import Peers
+from dockmux.clock.gossip import Gossip
+from dockmux.clock.peers import Peers
+from dockmux.gossip.spread import Spread
 from dockmux.verge.follower import Follower
 from dockmux.verge.record import Record, Step, not_refused
 from dockmux.verge.stages import BUCKETS
--- a/dockmux/verge/follower.py
+++ b/dockmux/verge/follower.py
@@ -10,7 +10,7 @@
 from dockmux.accord.span import UNBOUNDED, ZERO, ms, to_ms
 from dockmux.accord.types import NewsAsk, NewsReply
 from dockmux.accord.wire import Caller
-from dockmux.tempo.gossip import Gossip
+from dockmux.clock.gossip import Gossip
 
 HOLD_MS = 150
 ASK_LIMIT = timedelta(milliseconds=500)
--- a/dockmux/verge/legs.py
+++ b/dockmux/verge/legs.py
@@ -9,7 +9,7 @@
 from dockmux.accord.host import Host, within
 from dockmux.accord.links import Links
 from dockmux.accord.span import ZERO, instant_us, to_ms, to_us
-from dockmux.tempo.clock import Clock
+from dockmux.clock.clock import Clock
 from dockmux.verge.follower import Follower
 from dockmux.verge.record import Record
 
--- a/dockmux/verge/record.py
+++ b/dockmux/verge/record.py
@@ -30,7 +30,7 @@
     - `sent` becomes true before the first byte of the request may leave for an engine and stays so; while it
       is true the outcome is no refusal;
     - `sends` counts, by leg, how often the leg was sent; on a lane run once neither exceeds one;
-    - `pieces` (text and tempo stamp) only grows, is numbered from `first_piece` and is the same for every
+    - `pieces` (text and shared-time stamp) only grows, is numbered from `first_piece` and is the same for every
       reader;
     - `repeat` says that the request may have been asked for before, elsewhere: the user agent gave the identity and
       did not say that this is its first attempt. Unless this daemon holds the claim, it does not end in a refusal;
@@ -38,7 +38,7 @@
     - `reached` says when the end of a stage was last reached, on this host's monotonic time;
     - `claimed` is true once the chain holds this daemon's claim for it;
     - `outcome` is set once, together with step ENDED;
-    - `horizon` is on tempo's time; `mark` is the configuration that the values below were taken from, and
+    - `horizon` is in the shared time; `mark` is the configuration that the values below were taken from, and
       every send checks that it is still the current one or takes the values anew.
     """
 
--- a/dockmux/verge/table.py
+++ b/dockmux/verge/table.py
@@ -14,8 +14,8 @@
 from dockmux.accord.tree import extra_percent, resolve
 from dockmux.accord.types import WriteAsk, WriteReply
 from dockmux.accord.wire import Caller
-from dockmux.rumour.spread import Spread
-from dockmux.tempo.gossip import Gossip
+from dockmux.clock.gossip import Gossip
+from dockmux.gossip.spread import Spread
 from dockmux.verge.assign import Offer, assign
 from dockmux.verge.budget import Budget, Sent
 from dockmux.verge.follower import Follower
