--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 
-from tests.soak.history import PLANNED, Arrival, History, Sample, Trouble, TroubleKind, Try
+from tests.soak.history import PLANNED, Arrival, History, Trouble, TroubleKind, Try
 
 PROMISES = (408, 421, 429, 503)
 # NEWS-22: a request sent no later may be cut if its engine was at work in the last sixth of the grace time.
@@ -348,12 +348,14 @@
     for sample in seen.history.samples:
         rows[sample.process].append(sample)
     for process, samples in rows.items():
+        half = samples[len(samples) // 2 :]
         if len(samples) < SAMPLES_FEWEST:
             continue
-        memory = growth(samples=samples, values=[float(sample.rss_kb) for sample in samples])
+        times = [sample.at for sample in half]
+        memory = slope(times=times, values=[float(sample.rss_kb) for sample in half])
         if memory > MEMORY_SLOPE_KB_A_S:
             yield Breach(rule="GROWTH", what=f"{process}: memory grows by {memory:.0f} KB a second")
-        descriptors = growth(samples=samples, values=[float(sample.descriptors) for sample in samples])
+        descriptors = slope(times=times, values=[float(sample.descriptors) for sample in half])
         if descriptors > DESCRIPTOR_SLOPE_A_S:
             yield Breach(rule="GROWTH", what=f"{process}: descriptors grow by {descriptors:.1f} a second")
 
@@ -372,15 +374,6 @@
             )
 
 
-def growth(*, samples: list[Sample], values: list[float]) -> float:
-    """How fast the values grow on and on, a second: over the second half of the samples and over each half of that. One
-    step, as the largest body that a client may send makes it, is a slope of the half that it falls into only."""
-    count = len(samples)
-    spans = ((count // 2, count), (count // 2, count * 3 // 4), (count * 3 // 4, count))
-    times = [sample.at for sample in samples]
-    return min(slope(times=times[first:last], values=values[first:last]) for first, last in spans)
-
-
 def slope(*, times: list[float], values: list[float]) -> float:
     """The least-squares slope of values over times."""
     mean_time, mean_value = sum(times) / len(times), sum(values) / len(values)
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -237,16 +237,6 @@
     assert rules(planted=history(samples=rows)) == {"GROWTH"}
 
 
-def test_one_step_is_no_growth_and_steps_that_go_on_are():
-    """A body of four megabytes is one step, for good: the allocator keeps what it was given."""
-    seconds = range(22)
-    for step_at in seconds:
-        rows = [Sample(at=at, process=EDGE, rss_kb=40_000 + 4096 * (at >= step_at), descriptors=20) for at in seconds]
-        assert rules(planted=history(samples=rows)) == set(), step_at
-    rows = [Sample(at=at, process=EDGE, rss_kb=40_000 + 4096 * (at // 5), descriptors=20) for at in range(40)]
-    assert rules(planted=history(samples=rows)) == {"GROWTH"}
-
-
 def test_starts():
     slow = history(lives=[Life(process=EDGE, began=10.0, ready_at=14.5)])
     assert rules(planted=slow) == {"START"}
