--- /dev/null
+++ b/tests/process_ends/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes whose surroundings fail: log, disk, ports, memory, settings, long freezes."""
