Observability: pauses, lost log lines, memory run out, and events for what is lacking

The former figures did not tell a process that was suspended from one whose tasks are slow, nor a silent log from a lost one. New metrics on every daemon: paused_seconds, log_lines_dropped, memory_exhausted. New events: 1011 to 1017, 5007, 5008, each for one thing that a daemon lacks while it runs on.

--- a/dockmux/runtime/log_events.py
+++ b/dockmux/runtime/log_events.py
@@ -52,6 +52,43 @@
         "tasks waited {delay_ms} ms for the processor",
         "One task kept the processor, or the machine is overloaded or was suspended; compare with other daemons.",
     )
+    PORT_UNAVAILABLE = (
+        1011,
+        "error",
+        "cannot bind {address}: {error}; trying again",
+        "Find what else uses that port; the daemon serves on its other ports meanwhile and is not ready.",
+    )
+    SETTINGS_UNUSABLE = (
+        1012,
+        "error",
+        "the settings cannot be used: {error}; reading them again",
+        "Correct the named setting; the daemon starts as soon as it can use them.",
+    )
+    REQUEST_MALFORMED = (
+        1013,
+        "info",
+        "malformed request from {peer}: {error}",
+        "Nothing, unless one of your own clients sends them.",
+    )
+    LIBRARY_OUTPUT = (1014, "warning", "printed by a library: {line}", "Report it if it comes again and again.")
+    LOG_LINES_DROPPED = (
+        1015,
+        "warning",
+        "{count} log lines dropped so far",
+        "Check the log's disk and reader, and which event comes so often.",
+    )
+    MEMORY_EXHAUSTED = (
+        1016,
+        "error",
+        "out of memory: {error}",
+        "Raise the memory limit, or spread the clients over more daemons.",
+    )
+    START_FAILED = (
+        1017,
+        "error",
+        "cannot start: {error}; trying again",
+        "Correct the cause: usually the disk.",
+    )
     CLOCK_SYNCHRONIZED = (2001, "info", "clock synchronized from {peer}, bound {boundMs} ms", "Nothing.")
     CLOCK_PAUSED = (
         2002,
@@ -88,8 +125,8 @@
     DISK_UNRESPONSIVE = (
         3012,
         "error",
-        "a file call did not return within {limitMs} ms; exiting with code {code} to be restarted",
-        "Check the disk if it happens again; the core reads its stored state when it restarts.",
+        "a file call did not return within {limitMs} ms; the core leaves until it has",
+        "Check the disk if it happens again; the core then reads its stored state and joins again.",
     )
     CORE_JOINED = (3009, "info", "caught up with the tail at mark {mark}", "Nothing.")
     CORE_SUSPECTED = (
@@ -128,6 +165,18 @@
         "Check the platform's engine list service.",
     )
     LIST_CHANGED = (5002, "info", "engine list changed: {count} engines, {leaving} leaving", "Nothing.")
+    LIST_INCOMPLETE = (
+        5007,
+        "warning",
+        "engine list used with {count} engines: {malformed} rows were unusable, or its pages did not end",
+        "Check the platform's engine list service.",
+    )
+    CONFIG_UNUSABLE = (
+        5008,
+        "error",
+        "configuration {version} cannot be used: {error}; the former one stays in use",
+        "Send a new configuration.",
+    )
     ENGINE_FAILING = (
         5003,
         "warning",
--- a/dockmux/runtime/metrics.py
+++ b/dockmux/runtime/metrics.py
@@ -8,7 +8,10 @@
 from prometheus_client.core import HistogramMetricFamily
 
 from dockmux.runtime.http_transport import HttpExchange
+from dockmux.runtime.log_output import process_log_output
+from dockmux.runtime.memory_reserve import process_memory_reserve
 from dockmux.runtime.receive_limits import process_held_bytes
+from dockmux.runtime.running_time import process_running_time
 from dockmux.runtime.task_delay import process_task_delay
 
 # `ru_maxrss` is in KiB on Linux.
@@ -41,11 +44,15 @@
 
 
 def _process_values() -> dict[str, float]:
-    """What tells a process that runs out of memory from one whose tasks do not get the processor."""
+    """What tells apart a process out of memory, tasks that do not get the processor, a process that was suspended, and
+    a log that loses lines."""
     return {
         "resident_peak_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KIB,
         "received_bytes_held": process_held_bytes.total,
         "longest_task_delay_seconds": process_task_delay.longest.total_seconds(),
+        "paused_seconds": process_running_time.paused_until_now(),
+        "memory_exhausted": process_memory_reserve.exhausted,
+        "log_lines_dropped": process_log_output.dropped,
     }
 
 
