Engine list: pages without end are paced and end; one bad row does not spoil the rest

Cause: pages were fetched as fast as they came, up to 100; a failure paused one daemon for 0.2 to 0.6 s whatever it had called; rows were taken as they were.

--- a/dockmux/platform_proxy/directory.py
+++ b/dockmux/platform_proxy/directory.py
@@ -21,6 +21,8 @@
 MAX_RANK = 5
 CALL_TIMEOUT = timedelta(milliseconds=800)
 MAX_PAGES = 100
+# Assumed where the settings allow less than one call in ten seconds.
+MIN_CALLS_PER_SECOND = 0.1
 MAX_LIST_PAGE_BYTES = 4 << 20
 
 
@@ -51,6 +53,7 @@
         self.previous_digest = ""
         self.delta: dict[str, Any] = {}
         self.backoff_until = timedelta()
+        self.calls = 0
 
     @property
     def age(self) -> timedelta:
@@ -62,31 +65,50 @@
         max_age = self.deployment.drain * (REFRESH_RATIO + RANK_DELAY_RATIO * min(rank, MAX_RANK))
         return self.age >= max_age and self.host.elapsed() >= self.backoff_until
 
-    def refresh(self) -> bool:
-        """Fetches all pages from the platform; False on an error, after which `due()` is False for 200 to 600 ms."""
+    def refresh(self, *, daemons: int = 1) -> bool:
+        """Fetches all pages from the platform; False on an error, after which `due()` is False for 200 to 600 ms, and
+        longer if as many as `daemons` calling alike would exceed the platform's rate."""
         requested_at = self.host.elapsed()
-        rows: dict[str, EngineEntry] = {}
-        page: str | None = None
+        self.calls = 0
         try:
             with time_limit(wait=CALL_TIMEOUT), self._stream() as stream:
                 stream.connect()
-                for _ in range(MAX_PAGES):
-                    response = stream.call(method="GET", path=self.protocol.list_path(page=page))
-                    body = response.read(limit_bytes=MAX_LIST_PAGE_BYTES)
-                    if response.status != 200:
-                        raise OSError(f"engine list request failed with status {response.status}")
-                    listed, page = self.protocol.parse_list(body=body)
-                    rows |= {row.engine: row for row in listed}
-                    if page is None:
-                        break
+                rows = self._all_pages(stream=stream)
         except WIRE_ERRORS as error:
-            self.backoff_until = self.host.elapsed() + timedelta(milliseconds=self.host.random.randrange(200, 600))
+            pause = timedelta(milliseconds=self.host.random.randrange(200, 600))
+            share = timedelta(seconds=self.calls * daemons / max(self.deployment.list_per_second, MIN_CALLS_PER_SECOND))
+            self.backoff_until = self.host.elapsed() + max(pause, share * self.host.random.uniform(1, 1.5))
             self.host.log(LogEvent.LIST_FAILED, error=error)
             return False
         self.refreshes += 1
         self.replace(rows=rows, requested_at=requested_at, origin=f"{self.host.name}:{self.refreshes}")
         return True
 
+    def _all_pages(self, *, stream: HttpClientConnection) -> dict[str, EngineEntry]:
+        """The rows of all pages. The list ends at a page that adds nothing, whatever it says of further ones."""
+        rows: dict[str, EngineEntry] = {}
+        page: str | None = None
+        malformed = 0
+        while True:
+            self.calls += 1
+            response = stream.call(method="GET", path=self.protocol.list_path(page=page))
+            body = response.read(limit_bytes=MAX_LIST_PAGE_BYTES)
+            if response.status != 200:
+                raise OSError(f"engine list request failed with status {response.status}")
+            listed = self.protocol.parse_list(body=body)
+            adds_engines = any(row.engine not in rows for row in listed.rows)
+            rows |= {row.engine: row for row in listed.rows}
+            malformed += listed.malformed
+            page = listed.next_page
+            if page is None or not adds_engines:
+                break
+            if self.calls >= MAX_PAGES:
+                raise OSError(f"the engine list does not end after {MAX_PAGES} pages")
+            self.host.sleep(wait=timedelta(seconds=1 / max(self.deployment.list_per_second, MIN_CALLS_PER_SECOND)))
+        if malformed or page is not None:
+            self.host.log(LogEvent.LIST_INCOMPLETE, malformed=malformed, count=len(rows))
+        return rows
+
     def _stream(self) -> HttpClientConnection:
         return HttpClientConnection(host=self.host, address=self.deployment.list_address, wait=CALL_TIMEOUT)
 
--- a/dockmux/platform_proxy/edge.py
+++ b/dockmux/platform_proxy/edge.py
@@ -274,7 +274,9 @@
         while True:
             self.host.sleep(wait=MAINTENANCE_INTERVAL * 2)
             addresses = sorted([card.address for card in self.edges()] + [self.settings.address])
-            if self.directory.due(rank=addresses.index(self.settings.address)) and self.directory.refresh():
+            if self.directory.due(rank=addresses.index(self.settings.address)) and self.directory.refresh(
+                daemons=len(addresses)
+            ):
                 self._send_summary(works=self.load_tracker.summary(), to_all=True)
 
     def _fetch_list(self, *, address: str, digest: str) -> None:
--- a/dockmux/platform_proxy/protocol_adapter.py
+++ b/dockmux/platform_proxy/protocol_adapter.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Iterable
 from datetime import timedelta
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from dockmux.platform_proxy.routes import RouteTable
 from dockmux.runtime.bounded_json import to_count
@@ -64,8 +64,11 @@
 
     def __post_init__(self) -> None:
         for text in (self.engine, self.service, self.address, self.zone, self.phase, self.release):
-            if not isinstance(text, str) or len(text) > MAX_ENTRY_TEXT:
+            if not isinstance(text, str) or len(text) > MAX_ENTRY_TEXT or not text.isprintable():
                 raise ValueError("a row of the engine list has a field that is no short text")
+        # These two are written into requests.
+        if not (self.engine.isascii() and self.address.isascii()):
+            raise ValueError("an engine's name and address are of ASCII characters")
         if to_count(text=self.address.rpartition(":")[2]) is None:
             raise ValueError(f"an engine's address has no port: {self.address!r}")
         check_number(self.slots)
@@ -86,6 +89,14 @@
     keep_alive: timedelta | None
 
 
+class ListPage(NamedTuple):
+    """A page of the engine list. `next_page` is None on the last one; `malformed` is the number of rows left out."""
+
+    rows: list[EngineEntry]
+    next_page: str | None
+    malformed: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EngineReport:
     """An engine's report of its work, a few hundred ms old."""
@@ -139,8 +150,8 @@
     def list_path(self, *, page: str | None) -> str:
         """The path of a page of the engine list; None is the first page."""
 
-    def parse_list(self, *, body: bytes) -> tuple[list[EngineEntry], str | None]:
-        """Parses a page of the engine list: its rows, and the next page or None."""
+    def parse_list(self, *, body: bytes) -> ListPage:
+        """Parses a page of the engine list; a row that cannot be used is left out and counted."""
 
     def render_config(self, *, table: RouteTable) -> str:
         """The inverse of parse_config: the text that an operator would send."""
--- a/tests/routes_test.py
+++ b/tests/routes_test.py
@@ -132,7 +132,8 @@
 
 
 def test_a_page_of_the_engine_list_is_parsed():
-    rows, page = _entry()
+    rows, page, malformed = _entry()
+    assert malformed == 0
     assert page == "p-50" and rows[0].leaving and rows[0].engine == "i" and rows[0].zone == "hill"
     assert platform_adapter.PlatformAdapter().list_path(page=None) == "/engines"
     assert platform_adapter.PlatformAdapter().list_path(page=page) == "/engines?pg_tok=p-50"
