Configurations with numbers of a wrong type are refused, and old ones stay usable

Seen: with `max_body_bytes` as text, null or a list each request with a body ended in event 1004 (TypeError) until the next configuration; `slots` 0.5 and a missing `idle_ms` were acknowledged as well. Cause: the numbers of `caps` and `svcs` were passed on as they came. Change: an operator's configuration is checked number by number and refused with what is wrong. A configuration that an earlier release has acknowledged takes the default for such a number, so that an upgrade leaves no edge without a configuration; one that cannot be read at all leaves the former in use (event 5008).

--- a/dockmux/platform_proxy/config_tracker.py
+++ b/dockmux/platform_proxy/config_tracker.py
@@ -6,7 +6,7 @@
 
 from dockmux.clock.gossip_endpoint import GossipEndpoint
 from dockmux.platform_proxy.protocol_adapter import ProtocolAdapter
-from dockmux.platform_proxy.routes import RouteTable
+from dockmux.platform_proxy.routes import BadConfig, RouteTable
 from dockmux.runtime.condition import Condition
 from dockmux.runtime.config import Config, config_from
 from dockmux.runtime.host import Host
@@ -99,7 +99,12 @@
     def _adopt(self, *, config: Config) -> None:
         if config.mark <= self.mark or "text" not in config.tree:
             return
-        self.config, self.table = config, self.protocol.parse_config(text=config.tree["text"])
+        try:
+            self.table = self.protocol.parse_config(text=config.tree["text"])
+        except BadConfig as error:
+            self.host.log(LogEvent.CONFIG_UNUSABLE, version=config.version, error=error)
+            return
+        self.config = config
         self.host.log(LogEvent.CONFIG_IN_USE, version=config.version)
         self.config_changed.notify_all()
 
--- a/dockmux/platform_proxy/operator_api.py
+++ b/dockmux/platform_proxy/operator_api.py
@@ -39,7 +39,7 @@
             return Outcome(kind=OutcomeKind.MARK_MISSING, detail={"why": "name the version that you started from"})
         try:
             text = data.decode()
-            table = self.protocol.parse_config(text=text)
+            table = self.protocol.check_config(text=text)
         except (UnicodeDecodeError, BadConfig) as error:
             return Outcome(kind=OutcomeKind.INVALID, detail={"errors": [str(error)]})
         change = {"kind": "config", "tree": {"text": text}, "version": table.version, "based_on": based_on}
--- a/dockmux/platform_proxy/protocol_adapter.py
+++ b/dockmux/platform_proxy/protocol_adapter.py
@@ -120,6 +120,10 @@
     order_path: str
 
     def parse_config(self, *, text: str) -> RouteTable:
+        """Parses a configuration that was acknowledged, by whichever release: where a number is unusable its default is
+        taken. Raises BadConfig if it cannot be read."""
+
+    def check_config(self, *, text: str) -> RouteTable:
         """Parses a configuration as sent by an operator; raises BadConfig if it is invalid."""
 
     def base_version(self, *, headers: Headers) -> int | None:
