--- a/dockmux/runtime/host.py
+++ b/dockmux/runtime/host.py
@@ -22,6 +22,8 @@
 
 from dockmux.runtime.file_calls import FileCalls
 from dockmux.runtime.log_events import LogEvent
+from dockmux.runtime.log_output import process_log_output
+from dockmux.runtime.running_time import RunningTimeLimit, process_running_time
 
 # Poll events that report a connection closed or reset by the peer, even while data is still unread.
 POLL_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -190,8 +192,12 @@
         return DatagramSocket(address=address)
 
     def log(self, log_event: LogEvent, **fields: Any) -> None:
-        """Logs an event as "[number] NAME: text"."""
-        logging.log(LEVELS[log_event.level], "[%d] %s: %s", log_event.number, self.name, log_event.text(**fields))
+        """Logs an event as "[number] NAME: text", unless too many of its kind came just before. Neither blocks nor
+        raises."""
+        if not process_log_output.admits(number=log_event.number):
+            return
+        with process_log_output.counting_failures():
+            logging.log(LEVELS[log_event.level], "[%d] %s: %s", log_event.number, self.name, log_event.text(**fields))
 
 
 class DatagramSocket:
--- a/dockmux/runtime/served_connections.py
+++ b/dockmux/runtime/served_connections.py
@@ -11,6 +11,8 @@
 from eventlet import wsgi
 
 from dockmux.runtime.complete_line_reader import CompleteLineReader
+from dockmux.runtime.log_events import LogEvent
+from dockmux.runtime.memory_reserve import process_memory_reserve
 from dockmux.runtime.host import Host
 from dockmux.runtime.receive_limits import HeadTooLarge
 from dockmux.runtime.request_body import RequestBody
@@ -18,6 +20,8 @@
 CONNECTION_KEY = "dockmux.connection"
 # Upper bound for the head size that any configuration may allow.
 MAX_HEAD_BYTES = 1 << 20
+# Of what a client sent, in a log line.
+MAX_LOGGED_CHARACTERS = 200
 # The library's own limits are module constants; raised here, so that the configurable `HeadLimits` apply instead.
 wsgi.MAX_HEADER_LINE = wsgi.MAX_TOTAL_HEADER_SIZE = MAX_HEAD_BYTES
 
@@ -144,6 +148,11 @@
             super().handle_one_request()
         except HeadTooLarge:
             self._refuse_head(status="431 Request Header Fields Too Large")
+    def log_message(self, template: str, *values: Any) -> None:
+        """Called by the library about requests that it refuses; it would print what the client sent."""
+        error = (template % values)[:MAX_LOGGED_CHARACTERS]
+        self.host.log(LogEvent.REQUEST_MALFORMED, peer=self.client_address, error=error)
+
         except ConnectionError:
             # The connection ended within the head: there is no request and no client to respond to.
             self.close_connection = True
--- a/tests/early_hangup_test.py
+++ b/tests/early_hangup_test.py
@@ -16,7 +16,7 @@
     import {program}
 except ImportError:
     os.kill(os.getpid(), signal.SIGHUP)
-    print("alive", sys.modules["hangup"].received)
+    os.write(1, f"alive {{sys.modules['hangup'].received}}\\n".encode())
 """
 
 
