Time limits on others count only time in which this process ran

Seen: of 21 freezes of 10.6 s of a core that stores, two ended it with 4 though its disk was sound. Cause: the limit of a file call is a timer on the steady clock; after a freeze it was due, and looked at before the call's result, whose thread had been frozen as well. The same class: engines and peers that were judged silent for the time of our own pause, and heads, frames and parts of answers that were judged slow for it. Change: the main loop notes that it runs; gaps over half a second are pauses. `time_limit`, file calls, heads of requests, parts of answers, engines' silence, peers' and voters' silence and a stalled disk are judged without them. Leases and deadlines are promises to others and keep counting all time.

--- a/dockmux/clock/peer_table.py
+++ b/dockmux/clock/peer_table.py
@@ -29,6 +29,8 @@
     - `cards` and `last_heard` are keyed by the peer's address and never contain this daemon;
     - `last_heard` is when the peer last sent anything, in this host's monotonic time; a forwarded card keeps
       its age, so that forwarding never makes an entry younger;
+    - `last_heard` and `heard_while_running` say when each was last heard of, in monotonic time and in the running time
+      of this process; a peer counts as silent by the second;
     - `lost_at` maps the addresses of silent peers to the time at which they were removed; none of them is live.
     """
 
@@ -39,6 +41,7 @@
         self.seeds = list(settings.seeds)
         self.cards: dict[str, PeerCard] = {}
         self.last_heard: dict[str, timedelta] = {}
+        self.heard_while_running: dict[str, timedelta] = {}
         self.lost_at: dict[str, timedelta] = {}
 
     def own_card(self) -> PeerCard:
@@ -58,6 +61,7 @@
         if known is None or heard > known:
             self.cards[card.address] = card
             self.last_heard[card.address] = heard
+            self.heard_while_running[card.address] = self.host.running_elapsed() - ms(card.ageMs)
             self.lost_at.pop(card.address, None)
 
     def _may_add(self, *, address: str) -> bool:
@@ -66,9 +70,9 @@
 
     def live_cards(self) -> list[PeerCard]:
         """The cards of live peers, sorted by address, with their ages as received. Removes silent peers."""
-        limit = self.host.elapsed() - ms(self.settings.peerSilenceMs)
-        for address in [a for a, heard in self.last_heard.items() if heard < limit]:
-            del self.last_heard[address], self.cards[address]
+        limit = self.host.running_elapsed() - ms(self.settings.peerSilenceMs)
+        for address in [a for a, heard in self.heard_while_running.items() if heard < limit]:
+            del self.heard_while_running[address], self.last_heard[address], self.cards[address]
             if len(self.lost_at) < MAX_PEERS:
                 self.lost_at[address] = self.host.elapsed()
         return [self.cards[a] for a in sorted(self.cards)]
--- a/dockmux/control/chain_replica.py
+++ b/dockmux/control/chain_replica.py
@@ -261,7 +261,7 @@
 
     def sync_entries(self, *, entries: list[Entry]) -> None:
         """Appends entries to the log on disk. A failure marks the disk as failed and is passed on as OSError."""
-        self.disk_busy_since = self.host.elapsed()
+        self.disk_busy_since = self.host.running_elapsed()
         try:
             self.store.append(entries=entries)
             self.agreement.disk_failed = False
@@ -435,7 +435,7 @@
         while True:
             self.host.sleep(wait=ms(500))
             busy_since = self.disk_busy_since
-            if busy_since is not None and self.host.elapsed() - busy_since > DISK_STALL_TIMEOUT:
+            if busy_since is not None and self.host.running_elapsed() - busy_since > DISK_STALL_TIMEOUT:
                 self.agreement.disk_failed = True
             elif self.agreement.disk_failed:
                 # Members of the chain retry as well: if every disk has failed, no view can remove any of them.
--- a/dockmux/control/view_agreement.py
+++ b/dockmux/control/view_agreement.py
@@ -101,6 +101,7 @@
         self.last_heard: dict[str, timedelta] = {}
         self.grants_in_flight: set[str] = set()
         self.view_adopted_at = host.elapsed()
+        self.silence_counts_from = host.running_elapsed()
         self.may_act_from = host.elapsed() + self.lease_duration * CLOCK_DRIFT_FACTOR
         self.vote_lock = Semaphore(1)
         self.append_lock = Semaphore(1)
@@ -185,7 +186,7 @@
                 reply = self.rpc_client.call(address=address, request=request, wait=self.lease_duration / 2)
             if reply.disk != voter:
                 return
-            self.last_heard[voter] = self.host.elapsed()
+            self.last_heard[voter] = self.host.running_elapsed()
             if reply.granted and self.view.number == number:
                 self.grants[voter] = max(sent_at, self.grants.get(voter, ZERO))
             self.learn(view=reply.view)
@@ -196,7 +197,7 @@
 
     def on_grant(self, *, request: GrantAsk) -> VoteReply:
         """Grants a lease under this voter's own view, or answers with a newer view to a requester that is behind."""
-        self.last_heard[request.disk] = self.host.elapsed()
+        self.last_heard[request.disk] = self.host.running_elapsed()
         if request.leaving:
             self.leaving_peers.add(request.disk)
         else:
@@ -231,6 +232,7 @@
             self.grants.clear()
             self.join_candidates.clear()
             self.view_adopted_at = self.host.elapsed()
+            self.silence_counts_from = self.host.running_elapsed()
             self.may_act_from = self.view_adopted_at + self.lease_duration * CLOCK_DRIFT_FACTOR
         self.host.log(
             LogEvent.VIEW_ADOPTED, number=view.number, chain=",".join(view.chain), voters=",".join(view.voters)
@@ -518,9 +520,10 @@
     # Repair: remove members that are silent, add candidates that have caught up.
 
     def silence_of(self, *, disk: str) -> timedelta:
-        """How long nothing has been heard from a disk, counted from the adoption of the view at the earliest."""
-        since = max(self.last_heard.get(disk, ZERO), self.view_adopted_at)
-        return ZERO if disk == self.own_disk else self.host.elapsed() - since
+        """How long nothing has been heard from a disk while this process ran, counted from the adoption of the view at
+        the earliest."""
+        since = max(self.last_heard.get(disk, ZERO), self.silence_counts_from)
+        return ZERO if disk == self.own_disk else self.host.running_elapsed() - since
 
     def run_repair(self) -> None:
         """Proposes a new view when members are silent, failed or leaving, when a candidate can join, or when an
--- a/dockmux/platform_proxy/dispatcher.py
+++ b/dockmux/platform_proxy/dispatcher.py
@@ -258,7 +258,7 @@
                 self.budget.charge(service=record.service, now=self.prefill_rejected_at)
         elif budget_taken and (record.prefills == 0 or isinstance(result, Unsent)):
             self.budget.refund(service=record.service)
-        self.last_activity[engine.engine] = self.host.elapsed()
+        self.last_activity[engine.engine] = self.host.running_elapsed()
         if isinstance(result, KvHandle):
             record.prefills += 1
             span = self.host.elapsed() - started_at
@@ -339,7 +339,7 @@
                 record.answer_started, record.committed = relay.started, relay.committed
                 if data:
                     # Bytes that complete nothing are no sign of life.
-                    record.last_activity_at = self.last_activity[engine.engine] = self.host.elapsed()
+                    record.last_activity_at = self.last_activity[engine.engine] = self.host.running_elapsed()
                     yield data
         except WIRE_ERRORS as error:
             response.complete = False
--- a/dockmux/platform_proxy/engine_client.py
+++ b/dockmux/platform_proxy/engine_client.py
@@ -174,7 +174,7 @@
             prefill=prefill, kv_handle=kv_handle, last_event=last_event,
         ):  # fmt: skip
             headers.add(name, value)
-        record.begin_wait(engine=engine.engine, connection=connection, now=now, prefill=prefill)
+        record.begin_wait(engine=engine.engine, connection=connection, now=self.host.running_elapsed(), prefill=prefill)
         try:
             body = record.body if record.body or record.method in ("POST", "PUT", "PATCH") else None
             connection.request(record.method, record.target, body=body, headers=headers, preload_content=False)
@@ -183,7 +183,7 @@
             metadata = self.protocol.parse_response(status=response.status, headers=response_headers)
         except WIRE_ERRORS as error:
             return UnknownOutcome(reason=f"{type(error).__name__}: {error}")
-        record.last_activity_at = self.host.elapsed()
+        record.last_activity_at = self.host.running_elapsed()
         if not prefill:
             connection.end_unit()
         answer = EngineResponse(
--- a/dockmux/platform_proxy/request_record.py
+++ b/dockmux/platform_proxy/request_record.py
@@ -22,8 +22,9 @@
     - once `may_have_run`, it is not refused any more;
     - engines in `avoid` failed it and are not tried again while others are left; those in `unreachable` could not be
       connected to; `retry_pauses` counts the pauses before such engines were tried again;
-    - while it waits for an engine, `engine` names it, `connection` is the connection to it, `last_activity_at` is when
-      it last sent something, and `in_prefill` means that only the prefill runs there, which may be repeated whatever
+    - while it waits for an engine, `engine` names it, `connection` is the connection to it, `last_activity_at` is when,
+      in the running time of the process, it last sent something, and `in_prefill` means that only the prefill runs
+      there, which may be repeated whatever
       the route's rule;
     - `committed` means that no other engine can continue what the client has received;
     - `client_socket` is the client's connection, None where there is none; `disconnected` means that the client has
--- a/dockmux/platform_proxy/request_table.py
+++ b/dockmux/platform_proxy/request_table.py
@@ -98,7 +98,7 @@
     def cancel_stalled(self) -> None:
         """Marks engines as failing whose answers have begun and arrive too slowly. Cancels prefills and repeatable
         requests that wait for a failing or unlisted engine; another takes over."""
-        now = self.host.elapsed()
+        now = self.host.running_elapsed()
         for record in list(self.records.values()):
             if record.connection is not None and record.connection.answer_is_overdue:
                 self._note_overdue(record=record)
@@ -119,7 +119,7 @@
 
     def silent_engines(self) -> set[str]:
         """Engines to be health-checked: requests wait for them and have received nothing for `HEALTH_CHECK_SILENCE`."""
-        now = self.host.elapsed()
+        now = self.host.running_elapsed()
         waiting = {
             record.engine
             for record in self.records.values()
--- a/dockmux/runtime/fair_reader.py
+++ b/dockmux/runtime/fair_reader.py
@@ -6,6 +6,7 @@
 
 from dockmux.runtime.host import Host, time_limit
 from dockmux.runtime.receive_limits import unit_time_limit
+from dockmux.runtime.running_time import process_running_time
 from dockmux.runtime.time_units import ZERO
 
 # How long a task may run while it finds data to read, before others get their turn.
@@ -54,6 +55,7 @@
         self.turn = ReadTurn(host=host)
         self.unit_began_at: float | None = None
         self.unit_bytes = 0
+        self.paused_before_s = 0.0
         self.time_limited = False
 
     def readable(self) -> bool:
@@ -68,13 +70,15 @@
             count = self.raw.readinto(buffer)
         now = self.turn.note_read(began_at=began_at)
         if count:
-            self.unit_began_at = self.unit_began_at or now
+            if self.unit_began_at is None:
+                self.unit_began_at, self.paused_before_s = now, process_running_time.paused_until_now()
             self.unit_bytes += count
         return count
 
     def unit_time_left(self) -> timedelta:
-        """How much longer the unit that has begun may take."""
-        taken = timedelta(seconds=self.host.monotonic_seconds() - (self.unit_began_at or 0.0))
+        """How much longer the unit that has begun may take, of the time in which this process runs."""
+        paused_s = process_running_time.paused_until_now() - self.paused_before_s
+        taken = timedelta(seconds=self.host.monotonic_seconds() - (self.unit_began_at or 0.0) - paused_s)
         return unit_time_limit(received_bytes=self.unit_bytes) - taken
 
     @property
--- a/dockmux/runtime/host.py
+++ b/dockmux/runtime/host.py
@@ -20,7 +20,7 @@
 from eventlet.greenio import GreenSocket
 from urllib3.util.wait import wait_for_read
 
-from dockmux.runtime.file_calls import FileCalls
+from dockmux.runtime.file_calls import FileCall, FileCalls
 from dockmux.runtime.log_events import LogEvent
 from dockmux.runtime.log_output import process_log_output
 from dockmux.runtime.running_time import RunningTimeLimit, process_running_time
@@ -46,8 +46,9 @@
 
 @contextlib.contextmanager
 def time_limit(*, wait: timedelta) -> Iterator[None]:
-    """Raises TimeoutError in the enclosed block once `wait` has passed."""
-    with eventlet.Timeout(max(wait.total_seconds(), 0), TimeoutError("time is up")):
+    """Raises TimeoutError in the enclosed block once `wait` has passed, not counting time in which this process did not
+    run."""
+    with RunningTimeLimit(max(wait.total_seconds(), 0), TimeoutError("time is up")):
         yield
 
 
@@ -63,8 +64,22 @@
         self.calls = FileCalls()
 
     def _call(self, function: Callable[..., Any], *arguments: Any) -> Any:
-        with self.calls.bounded():
-            return tpool.execute(function, *arguments)
+        with self.calls.bounded() as call:
+            return tpool.execute(self._run, call, function, arguments)
+
+    @staticmethod
+    def _run(call: FileCall, function: Callable[..., Any], arguments: tuple[Any, ...]) -> Any:
+        try:
+            return function(*arguments)
+        finally:
+            call.returned = True
+
+    def resume(self) -> bool:
+        """Allows calls again, with new threads. False while an earlier call may still reach the disk."""
+        if not self.calls.resume():
+            return False
+        tpool.killall()
+        return True
 
     def read(self, *, name: str) -> bytes | None:
         """The content of a file; None if there is no such file."""
@@ -136,6 +151,18 @@
         """Whether a file call of this process has timed out; the process must then exit."""
         return self.folder is not None and self.folder.calls.timed_out
 
+    def resume_disk(self) -> bool:
+        """Allows file calls again, for a daemon that starts anew. False while one may still reach the disk."""
+        return self.folder is None or self.folder.resume()
+
+    def note_running(self, *, interval: timedelta) -> None:
+        """Notes that this process runs now; to be called about once in each `interval`."""
+        process_running_time.observe(interval=interval)
+
+    def running_elapsed(self) -> timedelta:
+        """Monotonic time without the pauses of this process: for judging how long another one has been silent."""
+        return self.elapsed() - timedelta(seconds=process_running_time.paused_until_now())
+
     def elapsed(self) -> timedelta:
         """Monotonic time since an arbitrary start."""
         return timedelta(microseconds=time.monotonic_ns() // 1000)
--- a/dockmux/runtime/served_connections.py
+++ b/dockmux/runtime/served_connections.py
@@ -15,6 +15,7 @@
 from dockmux.runtime.memory_reserve import process_memory_reserve
 from dockmux.runtime.host import Host
 from dockmux.runtime.receive_limits import HeadTooLarge
+from dockmux.runtime.running_time import RunningTimeLimit
 from dockmux.runtime.request_body import RequestBody
 
 CONNECTION_KEY = "dockmux.connection"
@@ -137,7 +138,7 @@
         return line
 
     def parse_request(self) -> bool:
-        limit = eventlet.Timeout(self.connections.limits.read_timeout.total_seconds(), False)
+        limit = RunningTimeLimit(self.connections.limits.read_timeout.total_seconds(), False)
         with limit:
             return super().parse_request()
         self._refuse_head(status="408 Request Timeout")
