A taken port is waited for, and the daemon says which one it lacks

Seen: exit 1 at once when a port is taken for 2 s at a start: `http`, `readyz`, `ctl`, the peer port by TCP or UDP. Cause: ports were bound at the start of the daemon's context, and a failure left it. Change: a port is bound when it is free, tried each 200 ms (event 1011, then each 5 s); the daemon serves on its other ports meanwhile, `readyz` answers 503, `ports_missing` and `/status` name them. A listening socket that has become unusable is bound anew. Tasks of connections end with their server; one that the hub could not start is given up, so that its place and its socket are not lost.

--- a/dockmux/control/core.py
+++ b/dockmux/control/core.py
@@ -20,6 +20,7 @@
 from dockmux.runtime.engine_connections import EngineConnectionPool
 from dockmux.runtime.host import Host
 from dockmux.runtime.http_transport import HttpExchange, serve
+from dockmux.runtime.listener import DatagramPort, ListeningPort
 from dockmux.runtime.log_events import LogEvent
 from dockmux.runtime.messages import (
     AcceptAsk,
@@ -78,14 +79,15 @@
         self.store.open()
         self.peers.card = dataclasses.replace(self.peers.card, disk=self.store.disk)
         with (
-            host.open_datagram_socket(address=settings.address) as port,
-            host.listen(address=settings.address) as listener,
-            host.listen(address=settings.http) as web_listener,
+            DatagramPort(host=host, address=settings.address) as port,
+            ListeningPort(host=host, address=settings.address) as listener,
+            ListeningPort(host=host, address=settings.http) as web_listener,
             RpcClient(host=host) as rpc_client,
             EngineConnectionPool(host=host) as connection_pool,
             TaskGroup(host=host) as task_group,
         ):
             self.task_group, self.rpc_client = task_group, rpc_client
+            self.ports = (port, listener, web_listener)
             self.gossip = GossipEndpoint(host=host, settings=settings, peers=self.peers, port=port)
             self.agreement = ViewAgreement(
                 host=host,
@@ -324,7 +326,10 @@
 
     def _values(self) -> dict[str, float]:
         status = self.status()
-        counts = {"chain": len(status["chain"]), "members": len(status["members"])}
+        counts = {
+            "chain": len(status["chain"]), "members": len(status["members"]),
+            "ports_missing": len(status["ports_missing"]),
+        }  # fmt: skip
         copied = ("permit", "ailing", "mark", "synced", "config", "engines", "claims", "tasks_failed")
         bound = {"clock_bound_seconds": self.gossip.clock.bound().total_seconds()}
         return {"view": status["view"] or 0, **{key: status[key] for key in copied}, **counts, **bound}
@@ -362,5 +367,6 @@
                 for card in chain.sessions.active()
             ],
             "tasks_failed": self.task_group.failed,
+            "ports_missing": [bound.address for bound in self.ports if not bound.is_bound],
             "timeUs": instant_us(self.gossip.clock.now()),
         }
--- a/dockmux/native_proxy/edge.py
+++ b/dockmux/native_proxy/edge.py
@@ -23,6 +23,7 @@
 from dockmux.runtime.http_client import HttpClientConnection
 from dockmux.runtime.http_response import WIRE_ERRORS
 from dockmux.runtime.http_transport import HttpExchange, serve
+from dockmux.runtime.listener import DatagramPort, ListeningPort
 from dockmux.runtime.log_events import LogEvent
 from dockmux.runtime.messages import NewsAsk, PeerCard
 from dockmux.runtime.outcomes import Outcome, OutcomeKind
@@ -62,9 +63,9 @@
         """Runs the daemon's sockets and tasks for the length of the context."""
         host, settings = self.host, self.settings
         with (
-            host.open_datagram_socket(address=settings.address) as port,
-            host.listen(address=settings.address) as listener,
-            host.listen(address=settings.http) as http_listener,
+            DatagramPort(host=host, address=settings.address) as port,
+            ListeningPort(host=host, address=settings.address) as listener,
+            ListeningPort(host=host, address=settings.http) as http_listener,
             RpcClient(host=host) as rpc_client,
             EngineConnectionPool(host=host) as connection_pool,
             TaskGroup(host=host) as task_group,
--- a/dockmux/platform_proxy/edge.py
+++ b/dockmux/platform_proxy/edge.py
@@ -23,6 +23,7 @@
 from dockmux.runtime.codec import CONTENT_ERRORS, ignoring_malformed
 from dockmux.runtime.host import Host
 from dockmux.runtime.http_transport import HttpExchange, serve
+from dockmux.runtime.listener import DatagramPort, ListeningPort
 from dockmux.runtime.log_events import LogEvent
 from dockmux.runtime.messages import DirectoryAsk, DirectoryReply, NewsAsk, PeerCard, WorkSummary
 from dockmux.runtime.outcomes import Outcome, OutcomeKind
@@ -70,15 +71,16 @@
         """Opens the daemon's sockets and runs its tasks while the context is open."""
         host, settings, deployment = self.host, self.settings, self.deployment
         with (
-            host.open_datagram_socket(address=settings.address) as gossip_socket,
-            host.listen(address=settings.address) as rpc_listener,
-            host.listen(address=deployment.http_address) as http_listener,
-            host.listen(address=deployment.readyz_address) as readiness_listener,
+            DatagramPort(host=host, address=settings.address) as gossip_socket,
+            ListeningPort(host=host, address=settings.address) as rpc_listener,
+            ListeningPort(host=host, address=deployment.http_address) as http_listener,
+            ListeningPort(host=host, address=deployment.readyz_address) as readiness_listener,
             RpcClient(host=host) as rpc_client,
             ConnectionPool(host=host) as connection_pool,
             TaskGroup(host=host) as task_group,
         ):
             self.task_group, self.rpc_client, self.connection_pool = task_group, rpc_client, connection_pool
+            self.ports = (gossip_socket, rpc_listener, http_listener, readiness_listener)
             self.gossip = GossipEndpoint(host=host, settings=settings, peers=self.peers, port=gossip_socket)
             self.config_tracker = ConfigTracker(
                 host=host, gossip=self.gossip, rpc_client=rpc_client, protocol=self.protocol
@@ -131,8 +133,13 @@
         return self.served.busy + self.shutdown.awaits_deregistration(now=now)
 
     def is_ready(self) -> bool:
-        """Whether the daemon has a configuration and engines, and is not draining."""
-        return self.shutdown is None and self.config_tracker.table is not None and bool(self.directory.rows)
+        """Whether the daemon has a configuration, engines and all its ports, and is not draining."""
+        has_state = self.config_tracker.table is not None and bool(self.directory.rows)
+        return self.shutdown is None and has_state and not self.missing_ports()
+
+    def missing_ports(self) -> list[str]:
+        """The addresses of ports that are taken by others."""
+        return [port.address for port in self.ports if not port.is_bound]
 
     # HTTP.
 
@@ -154,6 +161,7 @@
                 "list_age_seconds": min(self.directory.age.total_seconds(), 1e6),
                 "connections_made": self.connection_pool.opened,
                 "tasks_failed": self.task_group.failed,
+                "ports_missing": len(self.missing_ports()),
             }
             return metrics.page(exchange=exchange, values=values, outcomes=self.request_table.outcomes())
         if exchange.path == "/status":
@@ -165,6 +173,7 @@
         return {
             "name": self.settings.name,
             "ready": self.is_ready(),
+            "ports_missing": self.missing_ports(),
             "version": self.config_tracker.table.version if self.config_tracker.table else None,
             "engines": len(self.directory.rows),
             "failing": sorted(engine for engine in self.directory.rows if self.engine_health.is_failing(engine=engine)),
--- a/dockmux/runtime/http_transport.py
+++ b/dockmux/runtime/http_transport.py
@@ -3,21 +3,27 @@
 import functools
 import json
 import logging
+import time
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 from typing import Any
 
+import eventlet
 from eventlet import wsgi
 from greenlet import GreenletExit
 
 from dockmux.runtime.host import Host
 from dockmux.runtime.listener import RetryingListener
 from dockmux.runtime.log_events import LogEvent
+from dockmux.runtime.memory_reserve import process_memory_reserve
 from dockmux.runtime.outcomes import HttpMapping, Outcome, OutcomeKind
 from dockmux.runtime.receive_limits import BodyTooLarge, Charge, HeldBytesExceeded, process_held_bytes
 from dockmux.runtime.served_connections import CONNECTION_KEY, MAX_HEAD_BYTES, HttpConnection, ServedConnections
 from dockmux.runtime.task_group import describe_error
 
+MAX_CONNECTIONS = 4096
+TASK_START_LIMIT_S = 5.0
 SEND_LIMIT = timedelta(seconds=10)
 IDLE_LIMIT = timedelta(seconds=60)
 _null_logger = logging.getLogger("dockmux.web")
@@ -148,6 +154,43 @@
     connections: ServedConnections | None = None,
 ) -> None:  # fmt: skip
     """Serves HTTP on a bound socket. The caller binds it, so that an address in use is detected at the daemon's start.
+class ConnectionTasks(eventlet.GreenPool):
+    """The tasks of a server's connections. They end with the server's own task, and go on where that has failed.
+
+    Invariant: `unstarted` holds the newest tasks, with the times of their creation; all that are not in it have started
+    or were given up."""
+
+    def __init__(self, *, listener: RetryingListener) -> None:
+        super().__init__(MAX_CONNECTIONS)
+        self.listener = listener
+        self.unstarted: deque[tuple[float, Any]] = deque()
+
+    def spawn(self, function: Callable[..., Any], *args: Any, **kwargs: Any) -> Any:
+        """Starts a connection's task, and gives up earlier ones that could not start: out of memory, the hub drops
+        them, and their places and sockets would be lost."""
+        now = time.monotonic()
+        while self.unstarted and (self._has_started(task=self.unstarted[0][1]) or self._is_overdue(now=now)):
+            _, task = self.unstarted.popleft()
+            if not self._has_started(task=task):
+                task.kill()
+        task = super().spawn(function, *args, **kwargs)
+        self.unstarted.append((now, task))
+        return task
+
+    @staticmethod
+    def _has_started(*, task: Any) -> bool:
+        return bool(task) or task.dead
+
+    def _is_overdue(self, *, now: float) -> bool:
+        return now - self.unstarted[0][0] > TASK_START_LIMIT_S
+
+    def waitall(self) -> None:
+        """Called by the server library at the end of the server."""
+        if self.listener.is_ending:
+            for task in list(self.coroutines_running):
+                task.kill()
+
+
 
     `connections` holds the open connections, for a caller that closes them.
     """
@@ -174,14 +217,15 @@
             exchange.held.release()
 
     wsgi.server(
-        RetryingListener(host=host, listener=listener),
+        retrying_listener,
         application,
         log=_null_logger,
         log_output=False,
         debug=False,
         keepalive=True,
         url_length_limit=MAX_HEAD_BYTES,
-        max_size=4096,
         socket_timeout=SEND_LIMIT.total_seconds(),
+    retrying_listener = RetryingListener(host=host, listener=listener)
         protocol=functools.partial(HttpConnection, connections=served_connections, host=host),
     )
+        custom_pool=ConnectionTasks(listener=retrying_listener),
