Out of memory: bodies are refused with 503, and tasks and the process go on

Seen: with the address space bounded 1 MB above what is used, under 4 MiB bodies, edges end with 1; with more, each request leaves event 1004 with MemoryError. Cause: MemoryError was met wherever an allocation happened to fail: in the main loop it ended the process, in a loop of the library a connection's place and socket were lost, in a request it was an unforeseen error. A body also gets 503 where there is no room for it. Tasks that run for ever, the accepting loop and the main loop go on (event 1016).

--- a/dockmux/runtime/host.py
+++ b/dockmux/runtime/host.py
@@ -148,7 +148,7 @@
 
     @property
     def disk_unresponsive(self) -> bool:
-        """Whether a file call of this process has timed out; the process must then exit."""
+        """Whether a file call of this process has timed out; the daemon must then stop until it has returned."""
         return self.folder is not None and self.folder.calls.timed_out
 
     def resume_disk(self) -> bool:
--- a/dockmux/runtime/http_transport.py
+++ b/dockmux/runtime/http_transport.py
@@ -95,12 +95,17 @@
             return None
         if not length and not self._chunked:
             return b""
+        if not process_memory_reserve.has_room(size=int(length) if length else limit_bytes):
+            raise RequestBodyError(kind=OutcomeKind.BUSY, why="out of memory")
         try:
             return self.environ["wsgi.input"].read_whole(limit_bytes=limit_bytes, charge=self.held)
         except BodyTooLarge:
             return None
         except HeldBytesExceeded as error:
             raise RequestBodyError(kind=OutcomeKind.BUSY, why=str(error)) from None
+        except MemoryError:
+            process_memory_reserve.release()
+            raise RequestBodyError(kind=OutcomeKind.BUSY, why="out of memory") from None
         except TimeoutError:
             raise RequestBodyError(kind=OutcomeKind.BODY_LATE, why="the body stopped coming") from None
         except (OSError, ValueError) as error:
@@ -149,11 +154,6 @@
         return self.reply(status=mapping.status, fields=fields, headers=headers)
 
 
-def serve(
-    *, host: Host, listener: Any, handler: Callable[[HttpExchange], Iterable[bytes]], idle: timedelta = IDLE_LIMIT,
-    connections: ServedConnections | None = None,
-) -> None:  # fmt: skip
-    """Serves HTTP on a bound socket. The caller binds it, so that an address in use is detected at the daemon's start.
 class ConnectionTasks(eventlet.GreenPool):
     """The tasks of a server's connections. They end with the server's own task, and go on where that has failed.
 
@@ -191,6 +191,11 @@
                 task.kill()
 
 
+def serve(
+    *, host: Host, listener: Any, handler: Callable[[HttpExchange], Iterable[bytes]], idle: timedelta = IDLE_LIMIT,
+    connections: ServedConnections | None = None,
+) -> None:  # fmt: skip
+    """Serves HTTP on a bound socket. The caller binds it, so that an address in use is detected at the daemon's start.
 
     `connections` holds the open connections, for a caller that closes them.
     """
@@ -206,26 +211,31 @@
         try:
             yield from handler(exchange)
         except RequestBodyError as error:
-            exchange.environ[CONNECTION_KEY].close_connection = True
+            is_skipped = error.kind is OutcomeKind.BUSY and exchange.environ["wsgi.input"].can_be_skipped
+            exchange.environ[CONNECTION_KEY].close_connection = not is_skipped
             yield from exchange.respond(outcome=Outcome(kind=error.kind, detail={"why": str(error)}))
         except (OSError, GreenletExit, GeneratorExit):
             raise  # The connection failed or is being closed: the response ends without its last chunk.
+        except MemoryError as error:
+            process_memory_reserve.release()
+            host.log(LogEvent.MEMORY_EXHAUSTED, error=describe_error(error=error))
+            raise
         except Exception as error:
             host.log(LogEvent.TASK_FAILED, task=f"{exchange.method} {exchange.path}", error=describe_error(error=error))
             raise
         finally:
             exchange.held.release()
 
+    retrying_listener = RetryingListener(host=host, listener=listener)
     wsgi.server(
         retrying_listener,
         application,
+        custom_pool=ConnectionTasks(listener=retrying_listener),
         log=_null_logger,
         log_output=False,
         debug=False,
         keepalive=True,
         url_length_limit=MAX_HEAD_BYTES,
         socket_timeout=SEND_LIMIT.total_seconds(),
-    retrying_listener = RetryingListener(host=host, listener=listener)
         protocol=functools.partial(HttpConnection, connections=served_connections, host=host),
     )
-        custom_pool=ConnectionTasks(listener=retrying_listener),
--- a/dockmux/runtime/request_body.py
+++ b/dockmux/runtime/request_body.py
@@ -45,6 +45,11 @@
             pieces.append(data)
         return b"".join(pieces)
 
+    @property
+    def can_be_skipped(self) -> bool:
+        """Whether `discard` finds the body's end: not in the middle of a chunked one."""
+        return not self.chunked_input or self.received_bytes == 0
+
     def discard(self, buffer_size: int = READ_BYTES) -> None:
         """Reads and drops the rest of the body. Raises ChunkReadError, upon which the server closes the connection."""
         begin = self.received_bytes
--- a/dockmux/runtime/served_connections.py
+++ b/dockmux/runtime/served_connections.py
@@ -7,16 +7,15 @@
 from datetime import timedelta
 from typing import Any
 
-import eventlet
 from eventlet import wsgi
 
 from dockmux.runtime.complete_line_reader import CompleteLineReader
+from dockmux.runtime.host import Host
 from dockmux.runtime.log_events import LogEvent
 from dockmux.runtime.memory_reserve import process_memory_reserve
-from dockmux.runtime.host import Host
 from dockmux.runtime.receive_limits import HeadTooLarge
-from dockmux.runtime.running_time import RunningTimeLimit
 from dockmux.runtime.request_body import RequestBody
+from dockmux.runtime.running_time import RunningTimeLimit
 
 CONNECTION_KEY = "dockmux.connection"
 # Upper bound for the head size that any configuration may allow.
@@ -84,7 +83,12 @@
         self.host = host
         self.is_shut_down = False
         self.close_requested = False
-        super().__init__(conn_state, server)
+        try:
+            super().__init__(conn_state, server)
+        except MemoryError as error:
+            # The connection ends here, and is closed by the library.
+            process_memory_reserve.release()
+            host.log(LogEvent.MEMORY_EXHAUSTED, error=error)
 
     @property
     def close_connection(self) -> bool:
@@ -144,16 +148,16 @@
         self._refuse_head(status="408 Request Timeout")
         return False
 
-    def handle_one_request(self) -> None:
-        try:
-            super().handle_one_request()
-        except HeadTooLarge:
-            self._refuse_head(status="431 Request Header Fields Too Large")
     def log_message(self, template: str, *values: Any) -> None:
         """Called by the library about requests that it refuses; it would print what the client sent."""
         error = (template % values)[:MAX_LOGGED_CHARACTERS]
         self.host.log(LogEvent.REQUEST_MALFORMED, peer=self.client_address, error=error)
 
+    def handle_one_request(self) -> None:
+        try:
+            super().handle_one_request()
+        except HeadTooLarge:
+            self._refuse_head(status="431 Request Header Fields Too Large")
         except ConnectionError:
             # The connection ended within the head: there is no request and no client to respond to.
             self.close_connection = True
--- a/dockmux/runtime/task_group.py
+++ b/dockmux/runtime/task_group.py
@@ -8,6 +8,7 @@
 
 from dockmux.runtime.host import Host
 from dockmux.runtime.log_events import LogEvent
+from dockmux.runtime.memory_reserve import process_memory_reserve
 
 RESTART_DELAY = timedelta(milliseconds=200)
 
@@ -45,6 +46,10 @@
             work(**keywords)
         except GreenletExit:
             raise
+        except MemoryError as error:
+            self.failed += 1
+            process_memory_reserve.release()
+            self.host.log(LogEvent.MEMORY_EXHAUSTED, error=describe_error(error=error))
         except Exception as error:
             self.failed += 1
             self.host.log(LogEvent.TASK_FAILED, task=work.__qualname__, error=describe_error(error=error))
@@ -52,7 +57,10 @@
     def _supervise(self, *, work: Callable[..., Any], keywords: dict[str, Any]) -> None:
         while True:
             self._run_once(work=work, keywords=keywords)
-            self.host.sleep(wait=RESTART_DELAY)
+            try:
+                self.host.sleep(wait=RESTART_DELAY)
+            except MemoryError:
+                process_memory_reserve.release()
 
 
 def describe_error(*, error: BaseException) -> str:
