A daemon ends when told to or when its state is damaged; all else is waited for

Seen: exit 2 where the settings file cannot be used at a start, 1 where the disk cannot, 4 where a file call has not returned for 10 s. Cause: each of these left the main function; the platform was to start the process again. Where the daemon's context fails, it is closed and opened anew in the same process (events 1017, 3012), once no file call of the former one can reach the disk any more: calls that have not returned are counted, whoever waited for them.

--- a/dockmux/native_proxy/program.py
+++ b/dockmux/native_proxy/program.py
@@ -6,6 +6,7 @@
 from dockmux.native_proxy.edge import Edge
 from dockmux.runtime.daemon import run
 from dockmux.runtime.host import Host
+from dockmux.runtime.log_output import process_log_output
 from dockmux.runtime.settings import read_or_exit
 
 
@@ -13,7 +14,8 @@
     parser = argparse.ArgumentParser(prog="verge", description="Data daemon of dockmux, on an edge machine.")
     settings = read_or_exit(parser=parser, argv=argv)
     host = Host(name=settings.name)
-    return run(host=host, settings=settings, context=Edge(host=host, settings=settings).running())
+    process_log_output.install()
+    run(host=host, settings=settings, start=Edge(host=host, settings=settings).running)
 
 
 if __name__ == "__main__":
