Soak: long freezes, disks that refuse, logs that are full or not read, short limits

The soak froze for at most 2.5 s (edges) and 4 s (cores), and never touched log, disk, descriptors or memory. Drawn from a generator of their own, so that other draws of a seed stay: freezes of edges of 0.4 to 10.7 s, overlapping; in half of the plans a long freeze of a core or a disk that refuses writes (RLIMIT_FSIZE 0), which takes the place of the later faults of cores; a third of the machines with a full or an unread log; edges with 90 descriptors or 450 MB of address space. New check READY: when all faults are over, every edge is ready within `live_s`. `judge_test` and `soak_test` show the check and the draws.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -111,6 +111,16 @@
     ENGINE_ENDLESS = "engine without end"
     LIST_ENDLESS = "list without end"
     CLIENT_ENDLESS = "client without end"
+    DISK_REFUSES = "disk refuses writes"
+
+
+class Surrounding(StrEnum):
+    """What a machine's processes are short of from their start, through the whole run."""
+
+    LOG_FULL = "log full"
+    LOG_UNREAD = "log not read"
+    FEW_DESCRIPTORS = "few descriptors"
+    LITTLE_MEMORY = "little memory"
 
 
 # Planned operations: a request that is lost during one is not excused, as it is during a fault.
@@ -212,7 +222,8 @@
 
 @dataclasses.dataclass(kw_only=True)
 class History:
-    """Everything recorded in a run. Invariant: each list is ordered by when its rows began."""
+    """Everything recorded in a run. Invariant: each list is ordered by when its rows began. `not_ready_at_end` names
+    the edges that were still not ready when all faults had been over for `live_s`."""
 
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     requests: list[ClientRequest] = dataclasses.field(default_factory=list)
@@ -224,6 +235,7 @@
     samples: list[ResourceSample] = dataclasses.field(default_factory=list)
     process_instances: list[ProcessInstance] = dataclasses.field(default_factory=list)
     log_errors: list[str] = dataclasses.field(default_factory=list)
+    not_ready_at_end: list[str] = dataclasses.field(default_factory=list)
     ended_at: float = 0.0
 
     def arrivals_of(self, *, request_id: str) -> list[Arrival]:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -485,7 +485,7 @@
 
 
 def check_processes(index: HistoryIndex) -> Iterator[Violation]:
-    """PROCESS, LOG, GROWTH: no process exits unexpectedly, logs an error or keeps growing.
+    """PROCESS, READY, LOG, GROWTH: no process exits unexpectedly, stays unready, logs an error or keeps growing.
 
     These are not rules of the platform.
     """
@@ -494,6 +494,8 @@
             yield Violation(
                 rule="PROCESS", detail=f"{instance.process} exited unexpectedly with code {instance.exit_code}"
             )
+    for name in index.history.not_ready_at_end:
+        yield Violation(rule="READY", detail=f"{name} is not ready though all faults are over")
     for line in index.history.log_errors:
         yield Violation(rule="LOG", detail=line)
     samples_by_process = defaultdict(list)
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -258,6 +258,7 @@
             process_instances=[ProcessInstance(process=EDGE, started_at=0.0, exit_code=4, exited_unexpectedly=True)]
         )
     ) == {"PROCESS"}
+    assert broken_rules(example=history(not_ready_at_end=[EDGE])) == {"READY"}
     assert broken_rules(example=history(log_errors=["edge-0.log: Traceback"])) == {"LOG"}
     samples = [ResourceSample(at=at, process=EDGE, rss_kb=50_000 + 1000 * at, descriptors=20) for at in range(40)]
     assert broken_rules(example=history(samples=samples)) == {"GROWTH"}
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -12,12 +13,13 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 
 from tests.soak.asyncio_http import exchange, head_bytes, read_head
 from tests.soak.endless import answer_stream, send_without_end
 from tests.soak.engine import Engine
-from tests.soak.history import Bounds, Fault, FaultKind, History, ProcessInstance, ResourceSample
+from tests.soak.history import Bounds, Fault, FaultKind, History, ProcessInstance, ResourceSample, Surrounding
 from tests.soak.plan import Plan
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -34,6 +36,11 @@
 ENGINE_PHASES = ("prefill", "decode", "decode", "prefill", "decode")
 
 
+FEW_DESCRIPTORS = 90
+LITTLE_MEMORY_BYTES = 450 << 20
+UNREAD_PIPES: list[int] = []
+
+
 class SetupError(Exception):
     """The run could not be set up or carried out, so there is nothing to judge."""
 
@@ -58,6 +65,30 @@
     return True
 
 
+@contextlib.contextmanager
+def open_log(*, path: Path, surrounding: Surrounding | None) -> Iterator[int]:
+    """The descriptor that a process logs to: a file, a device that refuses writes, or a pipe that nobody reads."""
+    if surrounding is Surrounding.LOG_UNREAD:
+        reading, log = os.pipe()
+        # Stays open, unread, as long as the run.
+        UNREAD_PIPES.append(reading)
+    elif surrounding is Surrounding.LOG_FULL:
+        log = os.open("/dev/full", os.O_WRONLY)
+    else:
+        log = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    try:
+        yield log
+    finally:
+        os.close(log)
+
+
+def limit_softly(*, process: subprocess.Popen[bytes], what: int, limit: int) -> None:
+    """Sets a resource limit that can be lifted again."""
+    with contextlib.suppress(OSError):
+        _, hard = resource.prlimit(process.pid, what)
+        resource.prlimit(process.pid, what, (limit, hard))
+
+
 class Machines:
     """The fleet, on loopback addresses of one random /24 network, with the platform around it.
 
@@ -178,11 +209,16 @@
         path = self.write_settings(name=name, is_first=is_first)
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         instance = ProcessInstance(process=name, started_at=self.now())
-        with open(self.folder / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen(
+        surrounding = self.plan.surroundings.get(name)
+        with open_log(path=self.folder / f"{name}.log", surrounding=surrounding) as log:
+            process = self.processes[name] = subprocess.Popen(
                 self.commands[name.partition("-")[0]], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                 env={**environment, "PYTHONPATH": "target/deps", "DOCKMUX_CONFIG": str(path)},
             )  # fmt: skip
+        if surrounding is Surrounding.FEW_DESCRIPTORS:
+            limit_softly(process=process, what=resource.RLIMIT_NOFILE, limit=FEW_DESCRIPTORS)
+        elif surrounding is Surrounding.LITTLE_MEMORY:
+            limit_softly(process=process, what=resource.RLIMIT_AS, limit=LITTLE_MEMORY_BYTES)
         self.instances[name] = instance
         self.history.process_instances.append(instance)
 
@@ -268,6 +304,13 @@
             process.wait()
         for engine in self.engines:
             engine.shut_down()
+        while UNREAD_PIPES:
+            os.close(UNREAD_PIPES.pop())
+
+    def refuse_writes(self, *, name: str, refuses: bool) -> None:
+        """Makes each write of a process to a file fail, or allows them again."""
+        limit = 0 if refuses else resource.RLIM_INFINITY
+        limit_softly(process=self.processes[name], what=resource.RLIMIT_FSIZE, limit=limit)
 
     def remove_folder(self) -> None:
         shutil.rmtree(self.folder, ignore_errors=True)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -12,7 +12,7 @@
 from tests.endless_bytes.forms import AnswerForm, Pace, RequestForm
 from tests.soak.endless import describe_answer, describe_request_form
 from tests.soak.engine import GREY_KINDS
-from tests.soak.history import FaultKind
+from tests.soak.history import FaultKind, Surrounding
 
 # A core that has returned counts as lost for this long, so the next one may fail only after it.
 CORE_RECOVERY_S = 5.0
@@ -20,6 +20,9 @@
 FINAL_QUIET_S = 3.0
 MAX_STOP_S = 2.5
 SERIES_GAP_S = 1.3
+# Freezes shorter and longer than the time limits of a daemon: 0.5, 0.8, 2, 3, 5 and 10 s.
+FREEZE_LENGTHS_S = (0.4, 0.7, 1.2, 2.3, 3.5, 5.6, 10.7)
+MAX_DISK_TROUBLE_S = 6.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -40,7 +43,8 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Plan:
-    """A run's size and faults. The field names are those of the plan file. Invariant: `steps` are ordered by `at`."""
+    """A run's size and faults. The field names are those of the plan file. Invariants: `steps` are ordered by `at`;
+    `surroundings` holds what a machine is short of, by its name."""
 
     seed: int
     seconds: float
@@ -48,6 +52,7 @@
     cores: int
     engines: int
     steps: tuple[Step, ...]
+    surroundings: dict[str, Surrounding] = dataclasses.field(default_factory=dict)
 
     def to_json(self) -> str:
         """The text of a plan file, which `load_plan` reads."""
@@ -58,7 +63,8 @@
         return dataclasses.replace(self, steps=self.steps[:index] + self.steps[index + 1 :])
 
     def describe_steps(self) -> list[str]:
-        return [
+        surroundings = [f"  {name}: {surrounding}" for name, surrounding in self.surroundings.items()]
+        return surroundings + [
             (
                 f"  {step.at:6.2f} s {step.kind} {step.role}-{step.place}"
                 f"{f' for {step.for_s:.1f} s' if step.for_s else ''} {step.how}"
@@ -71,7 +77,8 @@
     """Reads a plan file that was written with `Plan.to_json`."""
     fields = json.loads(path.read_text())
     steps = tuple(Step(**{**row, "kind": FaultKind(row["kind"])}) for row in fields.pop("steps"))
-    return Plan(**fields, steps=steps)
+    surroundings = {name: Surrounding(value) for name, value in fields.pop("surroundings", {}).items()}
+    return Plan(**fields, steps=steps, surroundings=surroundings)
 
 
 def draw_plan(*, seed: int, seconds: float, edges: int, cores: int, engines: int) -> Plan:
@@ -83,12 +90,53 @@
         *_engine_steps(rng=rng, seconds=seconds, count=engines),
         *_endless_steps(seed=seed, seconds=seconds, edges=edges, cores=cores, engines=engines),
     ]
+    rng = random.Random(f"soak-surroundings-{seed}")
+    steps += _freeze_steps(rng=rng, seconds=seconds, edges=edges)
+    steps = _with_long_core_fault(rng=rng, steps=steps, seconds=seconds, cores=cores)
     return Plan(
         seed=seed, seconds=seconds, edges=edges, cores=cores, engines=engines,
         steps=tuple(sorted(steps, key=lambda step: step.at)),
+        surroundings=_draw_surroundings(rng=rng, edges=edges, cores=cores),
     )  # fmt: skip
 
 
+def _freeze_steps(*, rng: random.Random, seconds: float, edges: int) -> list[Step]:
+    """Freezes of edges, of which some overlap."""
+    return [
+        Step(
+            at=rng.uniform(1, max(seconds - FINAL_QUIET_S - 4, 2)), kind=FaultKind.STOP, role="edge",
+            place=rng.randrange(edges), for_s=rng.choice(FREEZE_LENGTHS_S),
+        )
+        for _ in range(rng.randrange(1, 4))
+    ]  # fmt: skip
+
+
+def _with_long_core_fault(*, rng: random.Random, steps: list[Step], seconds: float, cores: int) -> list[Step]:
+    """In half of the plans one core is frozen for long, or its disk refuses writes, in place of the later faults of
+    cores: no second core may be lost meanwhile."""
+    if rng.random() < 0.5:
+        return steps
+    at = rng.uniform(3, max(seconds * 0.5, 4))
+    earlier = [step for step in steps if step.role != "core" or step.at + step.for_s + CORE_RECOVERY_S < at]
+    if rng.random() < 0.5:
+        kind, for_s = FaultKind.STOP, rng.choice(FREEZE_LENGTHS_S)
+    else:
+        kind, for_s = FaultKind.DISK_REFUSES, rng.uniform(0.5, MAX_DISK_TROUBLE_S)
+    return [*earlier, Step(at=at, kind=kind, role="core", place=rng.randrange(cores), for_s=for_s)]
+
+
+def _draw_surroundings(*, rng: random.Random, edges: int, cores: int) -> dict[str, Surrounding]:
+    """What some of the machines are short of: a log for any number, memory or descriptors for one edge in three."""
+    names = [f"edge-{place}" for place in range(edges)] + [f"core-{place}" for place in range(cores)]
+    drawn = {}
+    for name in names:
+        if rng.random() < 0.3:
+            drawn[name] = rng.choice((Surrounding.LOG_FULL, Surrounding.LOG_UNREAD))
+        elif name.startswith("edge") and rng.random() < 0.3:
+            drawn[name] = rng.choice((Surrounding.FEW_DESCRIPTORS, Surrounding.LITTLE_MEMORY))
+    return drawn
+
+
 def _edge_steps(*, rng: random.Random, seconds: float, count: int) -> list[Step]:
     """Series of signals to edges, one machine after the other, and sometimes the replacement of one edge."""
     steps = []
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 # After the clients are told to stop: how long open requests, then the last change, may take.
 OPEN_REQUESTS_TIMEOUT_S = 9.0
 CHANGE_TIMEOUT_S = 5.0
+READY_POLL_S = 1.0
 SIGNALS = {FaultKind.HUP: signal.SIGHUP, FaultKind.TERM: signal.SIGTERM, FaultKind.KILL: signal.SIGKILL}
 
 
@@ -73,6 +74,12 @@
             await asyncio.sleep(step.for_s)
             machines.send_signal(name=name, number=signal.SIGCONT)
             return
+        if step.kind is FaultKind.DISK_REFUSES:
+            machines.record_fault(kind=step.kind, target=name, for_s=step.for_s)
+            machines.refuse_writes(name=name, refuses=True)
+            await asyncio.sleep(step.for_s)
+            machines.refuse_writes(name=name, refuses=False)
+            return
         if step.kind is FaultKind.HUP:
             machines.write_settings(name=name)
         else:
@@ -223,9 +230,20 @@
     end = machines.now() + 2 * machines.history.bounds.live_s + machines.history.bounds.ack_s
     while not await operator.read(is_final=True) and machines.now() < end:
         await asyncio.sleep(0.3)
+    await _note_edges_that_are_not_ready(machines=machines)
     for task in [*client_tasks, *other_tasks]:
         task.cancel()
     results = await asyncio.gather(*client_tasks, *other_tasks, return_exceptions=True)
     errors = [repr(each) for each in results if isinstance(each, Exception)]
     if errors:
         raise SetupError(f"a client, the operator or the sampler failed: {errors[0]}")
+
+
+async def _note_edges_that_are_not_ready(*, machines: Machines) -> None:
+    """All faults are over: every edge must be ready within `live_s`, and within a poll of it."""
+    names = [name for name in machines.edges if name in machines.supervised]
+    end = machines.now() + machines.history.bounds.live_s + READY_POLL_S
+    while names and machines.now() < end:
+        names = [name for name in names if not await machines.is_ready(name=name)]
+        await asyncio.sleep(0.2)
+    machines.history.not_ready_at_end = names
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.soak.history import FaultKind, Surrounding
 from tests.soak.judge import describe_request, judge
 from tests.soak.plan import draw_plan, load_plan
 from tests.soak.run import run_plan
@@ -29,3 +30,14 @@
     file.write_text(plan.to_json())
     assert load_plan(path=file) == plan
     assert len(plan.without(index=0).steps) == len(plan.steps) - 1
+
+
+def test_plans_hold_long_freezes_disk_and_log_trouble_and_short_limits():
+    """Guards against a soak that never meets what ended daemons: every kind is drawn within twenty seeds."""
+    plans = [draw_plan(seed=seed, seconds=25.0, edges=3, cores=3, engines=5) for seed in range(1, 21)]
+    assert {what for plan in plans for what in plan.surroundings.values()} == set(Surrounding)
+    steps = [step for plan in plans for step in plan.steps]
+    freezes = [step for step in steps if step.kind is FaultKind.STOP]
+    assert {step.role for step in freezes if step.for_s > 10} == {"edge", "core"}
+    assert any(step.for_s < 0.5 for step in freezes)
+    assert any(step.kind is FaultKind.DISK_REFUSES for step in steps)
