Stray signals do not end a daemon

SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO and SIGXCPU end a process by default. They are ignored from the first import on, as SIGPIPE and SIGXFSZ are by the interpreter. SIGTERM and SIGINT stop a daemon in order; SIGQUIT and SIGABRT keep their meaning.

--- a/dockmux/control/program.py
+++ b/dockmux/control/program.py
@@ -6,7 +6,7 @@
 from dockmux.control.core import Core
 from dockmux.runtime.daemon import run
 from dockmux.runtime.host import Host
-from dockmux.runtime.log_output import process_log_output
+from dockmux.runtime.process_setup import prepare_process
 from dockmux.runtime.settings import read_or_exit
 
 
@@ -17,7 +17,7 @@
         print("pact: bad setting data_folder: found nothing, allowed: a folder", file=sys.stderr)
         return 2
     host = Host(name=settings.name, folder=settings.data_folder)
-    process_log_output.install()
+    prepare_process()
     run(host=host, settings=settings, start=Core(host=host, settings=settings).running)
 
 
--- a/dockmux/engine_emulator/program.py
+++ b/dockmux/engine_emulator/program.py
@@ -6,7 +6,7 @@
 from dockmux.engine_emulator.engine import Engine, Speed
 from dockmux.runtime.daemon import run
 from dockmux.runtime.host import Host
-from dockmux.runtime.log_output import process_log_output
+from dockmux.runtime.process_setup import prepare_process
 from dockmux.runtime.settings import check
 
 
@@ -30,7 +30,7 @@
         host=host, name=parsed.name, service=parsed.service, address=parsed.address, phase=parsed.phase,
         speed=speed, record_path=parsed.record,
     )  # fmt: skip
-    process_log_output.install()
+    prepare_process()
     run(host=host, settings=settings, start=engine.running)
 
 
--- a/dockmux/native_proxy/program.py
+++ b/dockmux/native_proxy/program.py
@@ -6,7 +6,7 @@
 from dockmux.native_proxy.edge import Edge
 from dockmux.runtime.daemon import run
 from dockmux.runtime.host import Host
-from dockmux.runtime.log_output import process_log_output
+from dockmux.runtime.process_setup import prepare_process
 from dockmux.runtime.settings import read_or_exit
 
 
@@ -14,7 +14,7 @@
     parser = argparse.ArgumentParser(prog="verge", description="Data daemon of dockmux, on an edge machine.")
     settings = read_or_exit(parser=parser, argv=argv)
     host = Host(name=settings.name)
-    process_log_output.install()
+    prepare_process()
     run(host=host, settings=settings, start=Edge(host=host, settings=settings).running)
 
 
