--- a/dockmux/platform_proxy/edge.py
+++ b/dockmux/platform_proxy/edge.py
@@ -25,6 +25,7 @@
 from dockmux.runtime.http_transport import HttpExchange, serve
 from dockmux.runtime.listener import DatagramPort, ListeningPort
 from dockmux.runtime.log_events import LogEvent
+from dockmux.runtime.memory_reserve import process_memory_reserve
 from dockmux.runtime.messages import DirectoryAsk, DirectoryReply, NewsAsk, PeerCard, WorkSummary
 from dockmux.runtime.outcomes import Outcome, OutcomeKind
 from dockmux.runtime.rpc import RpcClient, RpcServer
@@ -133,9 +134,10 @@
         return self.served.busy + self.shutdown.awaits_deregistration(now=now)
 
     def is_ready(self) -> bool:
-        """Whether the daemon has a configuration, engines and all its ports, and is not draining."""
+        """Whether the daemon has a configuration, engines, all its ports and memory, and is not draining."""
         has_state = self.config_tracker.table is not None and bool(self.directory.rows)
-        return self.shutdown is None and has_state and not self.missing_ports()
+        lacks_something = bool(self.missing_ports()) or process_memory_reserve.is_used
+        return self.shutdown is None and has_state and not lacks_something
 
     def missing_ports(self) -> list[str]:
         """The addresses of ports that are taken by others."""
@@ -174,6 +176,7 @@
             "name": self.settings.name,
             "ready": self.is_ready(),
             "ports_missing": self.missing_ports(),
+            "memory_short": process_memory_reserve.is_used,
             "version": self.config_tracker.table.version if self.config_tracker.table else None,
             "engines": len(self.directory.rows),
             "failing": sorted(engine for engine in self.directory.rows if self.engine_health.is_failing(engine=engine)),
--- a/dockmux/runtime/listener.py
+++ b/dockmux/runtime/listener.py
@@ -62,6 +62,10 @@
                 self.host.log(LogEvent.PORT_UNAVAILABLE, address=self.address, error=error)
             self.attempts += 1
 
+    def _close_if_unusable(self, *, sock: Any, error: OSError) -> None:
+        if error.errno in SOCKET_UNUSABLE_ERRNOS and self.sock is sock:
+            self.close()
+
     def _wait_until_bound(self) -> Any:
         while self.sock is None:
             self._try_to_bind()
@@ -84,8 +88,7 @@
         try:
             return sock.accept()
         except OSError as error:
-            if error.errno in SOCKET_UNUSABLE_ERRNOS and self.sock is sock:
-                self.close()
+            self._close_if_unusable(sock=sock, error=error)
             raise
 
 
@@ -105,7 +108,12 @@
             self.sock.send(address=address, data=data)
 
     def receive(self) -> tuple[bytes, str]:
-        return self._wait_until_bound().receive()
+        sock = self._wait_until_bound()
+        try:
+            return sock.receive()
+        except OSError as error:
+            self._close_if_unusable(sock=sock, error=error)
+            raise
 
 
 class RetryingListener:
--- a/dockmux/runtime/log_output.py
+++ b/dockmux/runtime/log_output.py
@@ -75,12 +75,12 @@
         self.output = output
 
     def emit(self, record: logging.LogRecord) -> None:
-        text = record.getMessage().replace("\n", "\\n")[:MAX_LINE_CHARACTERS]
-        data = (text + "\n").encode("utf-8", "backslashreplace")
         try:
+            text = record.getMessage().replace("\n", "\\n")[:MAX_LINE_CHARACTERS]
+            data = (text + "\n").encode("utf-8", "backslashreplace")
             while data:
                 data = data[os.write(STDERR_DESCRIPTOR, data) :]
-        except OSError:
+        except (OSError, MemoryError):
             self.output.dropped += 1
 
     def handleError(self, record: logging.LogRecord) -> None:
--- a/dockmux/runtime/task_group.py
+++ b/dockmux/runtime/task_group.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
+import eventlet
 from greenlet import GreenletExit
 
 from dockmux.runtime.host import Host
@@ -50,7 +51,7 @@
             self.failed += 1
             process_memory_reserve.release()
             self.host.log(LogEvent.MEMORY_EXHAUSTED, error=describe_error(error=error))
-        except Exception as error:
+        except (Exception, eventlet.Timeout) as error:
             self.failed += 1
             self.host.log(LogEvent.TASK_FAILED, task=work.__qualname__, error=describe_error(error=error))
 
--- a/tests/process_ends/freeze_test.py
+++ b/tests/process_ends/freeze_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.process_ends.daemon_process import DaemonProcess, daemon
+from tests.process_ends.daemon_process import CONTROL_PORT, DaemonProcess, daemon, wait_until
 
 # Each file call takes this long, so that a freeze meets one.
 SLOW_FILES = """
@@ -20,6 +20,8 @@
 """
 FILE_CALL_LIMIT_S = 2.0
 FREEZE_S = 3.0
+# Longer than the silence after which a peer counts as gone.
+EDGE_FREEZE_S = 7.0
 
 
 def put_versions(*, process: DaemonProcess, first: int, seconds: float, accepted: list[int]) -> None:
@@ -51,3 +53,18 @@
         assert process.alive, (process.process.returncode, process.log_text)
         assert len(accepted) > before, "changes are accepted again"
         assert process.terminate() == 0
+
+
+def test_a_frozen_edge_runs_on_and_tells_its_pause(tmp_path):
+    """Guards against an edge that judges others by the time in which it did not run itself."""
+    with daemon(role="core", folder=tmp_path) as core:
+        core.first_put()
+        seeds, ports = core.address(place=CONTROL_PORT), core.lines["port_range"]
+        with daemon(role="edge", folder=tmp_path, seeds=seeds, port_range=ports) as edge:
+            assert wait_until(condition=lambda: edge.metric(name="peers") == 1, limit_s=10)
+            time.sleep(1)
+            edge.freeze(seconds=EDGE_FREEZE_S)
+            assert wait_until(condition=edge.answers, limit_s=2)
+            assert edge.metric(name="peers") == 1
+            assert EDGE_FREEZE_S - 1 < edge.metric(name="paused_seconds") < EDGE_FREEZE_S + 2
+            assert "[1004]" not in edge.log_text and edge.terminate() == 0
