--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,10 +10,11 @@
 from pathlib import Path
 
 from tests.soak.history import History
-from tests.soak.judge import Violation, describe_request, judge
+from tests.soak.judge import describe_request, judge
 from tests.soak.machines import SetupError
 from tests.soak.plan import Plan, draw_plan, load_plan
 from tests.soak.run import run_plan
+from tests.soak.violations import Violation
 
 # The memory of one daemon, rounded up, and how many daemons a run may have; they decide what --most starts.
 PROCESS_MB = 60
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -17,7 +17,8 @@
     RequestKind,
     ResourceSample,
 )
-from tests.soak.judge import judge, slope
+from tests.soak.judge import judge
+from tests.soak.process_checks import slope
 from tests.standins.engine import plain_body, stream_body
 
 REQUEST_ID = "00000001"
