A daemon that fails without memory starts anew alone, and only when its disk may be read

Read in the code, not seen in a run: MemoryError on the way out of a failed daemon led to the next start without waiting for file calls that may still write, and a task whose end failed for lack of memory would have gone on beside the new daemon. The wait now stands before every start, and ending a task is tried again with the memory that was set aside.

--- a/dockmux/runtime/daemon.py
+++ b/dockmux/runtime/daemon.py
@@ -3,9 +3,10 @@
 A daemon ends for two reasons: it was told to, or its stored state is damaged. Everything else is waited for.
 """
 
+import contextlib
 import os
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
 from datetime import timedelta
 from typing import Any, NoReturn
@@ -74,11 +75,10 @@
         """Starts the daemon, again and again if need be, and ends the process when it is told to, or with
         EXIT_DATA_DAMAGED."""
         while True:
-            try:
+            with self._releasing_memory():
                 self._run_once(start=start)
-                self._wait_before_next_start()
-            except MemoryError:
-                process_memory_reserve.release()
+            while not self._may_start_again():
+                continue
 
     def _run_once(self, *, start: Callable[[], AbstractContextManager[Any]]) -> None:
         """Returns when the daemon has failed and is to be started anew."""
@@ -92,14 +92,23 @@
         except Exception as error:
             self.host.log(LogEvent.START_FAILED, error=describe_error(error=error))
 
-    def _wait_before_next_start(self) -> None:
-        """Waits until a new daemon may read the disk; ends the process if it is told to stop meanwhile."""
-        while True:
+    @contextlib.contextmanager
+    def _releasing_memory(self) -> Iterator[None]:
+        """Being out of memory ends neither the main loop nor the process."""
+        try:
+            yield
+        except MemoryError as error:
+            process_memory_reserve.release()
+            self.host.log(LogEvent.MEMORY_EXHAUSTED, error=error)
+
+    def _may_start_again(self) -> bool:
+        """Waits a little; whether a new daemon may then read the disk. Ends the process if it is told to stop."""
+        with self._releasing_memory():
             self._sleep(wait=RETRY_INTERVAL)
             if self.stop_requests:
                 self._exit_stopped(open_count=0)
-            if self.host.resume_disk():
-                return
+            return self.host.resume_disk()
+        return False
 
     def _serve(self, *, daemon: Any) -> NoReturn:
         while not self.stop_requests:
@@ -138,15 +147,12 @@
             raise DiskUnresponsive("a file call has not returned")
 
     def _sleep(self, *, wait: timedelta) -> None:
-        """Sleeps and reports lost log lines. Being out of memory ends neither the main loop nor the process."""
-        try:
+        """Sleeps, reports lost log lines, and sets the memory reserve aside again."""
+        with self._releasing_memory():
             process_task_delay.sleep(host=self.host, wait=wait)
             self.host.note_running(interval=wait)
             self._report_dropped_lines()
             process_memory_reserve.hold()
-        except MemoryError as error:
-            process_memory_reserve.release()
-            self.host.log(LogEvent.MEMORY_EXHAUSTED, error=error)
 
     def _report_dropped_lines(self) -> None:
         process_log_output.start_writing()
--- a/dockmux/runtime/task_group.py
+++ b/dockmux/runtime/task_group.py
@@ -12,6 +12,7 @@
 from dockmux.runtime.memory_reserve import process_memory_reserve
 
 RESTART_DELAY = timedelta(milliseconds=200)
+MAX_KILL_ATTEMPTS = 100
 
 
 class TaskGroup:
@@ -28,7 +29,7 @@
 
     def __exit__(self, *_: object) -> None:
         for task in self.tasks:
-            task.kill()
+            _kill(task=task)
         self.tasks.clear()
 
     def supervise(self, *, task: Callable[..., Any], **keywords: Any) -> None:
@@ -64,6 +65,16 @@
                 process_memory_reserve.release()
 
 
+def _kill(*, task: Any) -> None:
+    """Ends a task, also without memory: a daemon that starts anew must be alone in its process."""
+    for _ in range(MAX_KILL_ATTEMPTS):
+        try:
+            task.kill()
+            return
+        except MemoryError:
+            process_memory_reserve.release()
+
+
 def describe_error(*, error: BaseException) -> str:
     """The error with the last 6 positions of its traceback, on one line."""
     positions = []
