--- a/tests/task_group_memory_test.py
+++ b/tests/task_group_memory_test.py
@@ -34,8 +34,14 @@
     assert all(task.ended for task in tasks)
 
 
-def test_a_daemon_without_memory_starts_anew_only_when_its_disk_may_be_read(isolated_signals):
-    """Guards against a daemon that reads its disk while a call of the former one may still write."""
+def test_a_daemon_without_memory_starts_anew_only_when_its_disk_may_be_read(isolated_signals, monkeypatch):
+    """Guards against a daemon that reads its disk while a call of the former one may still write: there was not even
+    memory to tell why the former one failed."""
+
+    def describe_without_memory(*, error: BaseException) -> str:
+        raise MemoryError
+
+    monkeypatch.setattr(daemon, "describe_error", describe_without_memory)
     host = SignalHost(signals=[1, 1, 1, 1, 1, 1])
     pending = [False, False, True]
     host.resume_disk = lambda: pending.pop(0)
@@ -44,10 +50,10 @@
     def start() -> contextlib.AbstractContextManager[Daemon]:
         started.append(host.elapsed())
         if len(started) == 1:
-            raise MemoryError
+            raise OSError("the disk cannot be used")
         return contextlib.nullcontext(Daemon())
 
     with pytest.raises(Ended):
         daemon.run(host=host, settings=settings(seeds=["10.0.0.1:7000"]), start=start)
     assert pending == [] and started[1] - started[0] >= 3 * daemon.RETRY_INTERVAL
-    assert host.logged[0][0] in (LogEvent.MEMORY_EXHAUSTED, LogEvent.START_FAILED)
+    assert host.logged[0][0] is LogEvent.MEMORY_EXHAUSTED
