--- a/tests/process_ends/port_test.py
+++ b/tests/process_ends/port_test.py
@@ -51,7 +51,10 @@
         if role == "core":
             process.first_put()
         else:
-            serves = lambda: process.call(place=HTTP_PORT, path="/")[0] == 503  # noqa: E731
+
+            def serves() -> bool:
+                return process.call(place=HTTP_PORT, path="/")[0] == 503
+
             assert wait_until(condition=serves, limit_s=3)
             assert wait_until(condition=lambda: process.metric(name="ports_missing") == 0, limit_s=3)
         assert process.terminate() == 0
