--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -218,10 +218,18 @@
         self.cores = [f"{self.net}.{number + 10}" for number in range(cores)]
         self.edges = [f"{self.net}.{number + 100}" for number in range(edges)]
         self.tolerated = tolerated
-        self.port, self.ctl, self.http, self.ready = 7720, 8166, 8161, 8167
+        self.port, self.ctl, self.http, self.ready = self._free_ports(count=4)
         self.list = EngineList(ip=f"{self.net}.200")
         self.processes: dict[str, subprocess.Popen] = {}
 
+    def _free_ports(self, *, count: int) -> list[int]:
+        """Ports that are free on all addresses of the machines; alike on all of them, 16 apart."""
+        while True:
+            first = random.randrange(20_000, 30_000)
+            ports = [first + 16 * number for number in range(count)]
+            if all(is_free(ip=ip, port=port) for ip in [*self.cores, *self.edges] for port in ports):
+                return ports
+
     def datadir(self, *, ip: str) -> Path:
         return self.folder / f"data-{ip}"
 
@@ -324,6 +332,17 @@
         return False
 
 
+def is_free(*, ip: str, port: int) -> bool:
+    """Whether a port of an address can be bound, by TCP and by UDP."""
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind((ip, port))
+    except OSError:
+        return False
+    return True
+
+
 def status_of(*, message: Message | None) -> int:
     return int(message.first_line.split(" ")[1]) if message else 0
 
@@ -353,6 +372,8 @@
     record = Record(folder=folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {trouble}")
+    # So that `main` ends the processes that it started, also when the time is over.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = main(record=record, trouble=trouble)
     except Exception as error:
