--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -366,14 +366,20 @@
         return None
 
 
+def stop(*_: object) -> None:
+    """Ends the case when its time is over, so that `main` ends the processes that it started. `timeout` signals the
+    whole group, so SIGTERM comes twice: the second one must not break into that."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def run_case(*, case: str, main) -> None:
     """Runs `main(record=, trouble=)`, which returns what was broken, empty if the rule held. Exits with 1, 0 or 2."""
     folder = Path(case).resolve().parent
     record = Record(folder=folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {trouble}")
-    # So that `main` ends the processes that it started, also when the time is over.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, stop)
     try:
         broken = main(record=record, trouble=trouble)
     except Exception as error:
